--- /dev/null
+++ b/src/arbutuslb/core/base/ids.h
@@ -0,0 +1,49 @@
+// Identifiers shared by all libraries of the core. All are regular value types.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace arbutuslb::core {
+
+// Names one daemon for as long as its instance keeps its name; a hash of that name.
+struct member_id {
+  std::uint64_t value = 0;
+  friend auto operator<=>(const member_id&, const member_id&) = default;
+};
+
+// Distinguishes the lives of a daemon under the same `member_id`. A later one has a higher value.
+// Processes have no disk, so the value starts from the wall time of the start and rises past any
+// higher value that a peer remembers.
+struct incarnation {
+  std::uint64_t value = 0;
+  friend auto operator<=>(const incarnation&, const incarnation&) = default;
+};
+
+// Names one attempt of one call. Unique over all daemons and their lives.
+struct call_id {
+  member_id caller;
+  incarnation caller_boot;
+  std::uint64_t sequence = 0;
+  friend auto operator<=>(const call_id&, const call_id&) = default;
+};
+
+// The version of a configuration: the offset of the last record of the log that was folded.
+using config_version = std::uint64_t;
+
+// An IPv4 address with the ports of one daemon.
+struct peer_address {
+  std::string host;
+  std::uint16_t datagram_port = 0;
+  std::uint16_t stream_port = 0;
+  friend auto operator<=>(const peer_address&, const peer_address&) = default;
+};
+
+} // namespace arbutuslb::core
+
+template <>
+struct std::hash<arbutuslb::core::member_id> {
+  std::size_t operator()(const arbutuslb::core::member_id& id) const noexcept { return id.value; }
+};
--- /dev/null
+++ b/src/arbutuslb/core/calls/duplicate_filter.h
@@ -0,0 +1,48 @@
+// Recognizes repeated and very late requests of other daemons, in bounded memory.
+//
+// Sequence numbers of one sender's life rise. The filter remembers a window of the highest; any
+// number below the window counts as a repeat.
+#pragma once
+
+#include "arbutuslb/core/base/ids.h"
+
+#include <map>
+#include <set>
+
+namespace arbutuslb::core::calls {
+
+// Not thread-safe.
+class duplicate_filter {
+public:
+  // Returns true if the request was not seen before, and remembers it. O(log window).
+  bool admit(const call_id& id) {
+    window& seen = windows_[id.caller];
+    if (id.caller_boot < seen.boot) {
+      return false;
+    }
+    if (id.caller_boot > seen.boot) {
+      seen = window{id.caller_boot, 0, {}};
+    }
+    if (id.sequence < seen.floor || !seen.sequences.insert(id.sequence).second) {
+      return false;
+    }
+    if (seen.sequences.size() > window_size) {
+      seen.floor = *seen.sequences.begin() + 1;
+      seen.sequences.erase(seen.sequences.begin());
+    }
+    return true;
+  }
+
+  std::size_t senders() const noexcept { return windows_.size(); }
+
+private:
+  static constexpr std::size_t window_size = 64;
+  struct window {
+    incarnation boot;
+    std::uint64_t floor = 0;
+    std::set<std::uint64_t> sequences;
+  };
+  std::map<member_id, window> windows_;
+};
+
+} // namespace arbutuslb::core::calls
--- /dev/null
+++ b/src/arbutuslb/core/config/configuration.cc
@@ -0,0 +1,511 @@
+#include "arbutuslb/core/config/configuration.h"
+
+#include "arbutuslb/core/base/hash.h"
+#include "arbutuslb/core/config/internal_json.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace arbutuslb::core::config {
+namespace {
+
+// Commands remembered so that a repeat has no second effect.
+constexpr std::size_t remembered_commands = 2048;
+constexpr std::int64_t max_integer = std::numeric_limits<std::int64_t>::max();
+constexpr int snapshot_format = 1;
+
+template <typename Value>
+std::uint64_t hash_of(const Value& value) {
+  return hash_bytes(internal::to_json(value).dump(), 7);
+}
+
+std::uint64_t hash_of(const std::string& command_id, const command_outcome& outcome) {
+  return hash_bytes(command_id, outcome.version * 2 + (outcome.accepted ? 1 : 0));
+}
+
+bool is_path_prefix(std::string_view prefix, std::string_view path) {
+  if (path.substr(0, prefix.size()) != prefix) {
+    return false;
+  }
+  return path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/' ||
+         path[prefix.size()] == '?';
+}
+
+template <typename Value>
+json objects_of(const std::map<std::string, Value>& values) {
+  json array = json::array();
+  for (const auto& [name, value] : values) {
+    array.push_back(internal::to_json(value));
+  }
+  return array;
+}
+
+template <typename Map>
+std::string with_nearest(const std::string& text, const std::string& name, const Map& known) {
+  std::vector<std::string> names;
+  for (const auto& [key, ignored] : known) {
+    names.push_back(key);
+  }
+  const std::string nearest = nearest_word(name, names);
+  return text + " \"" + name + "\"" +
+         (nearest.empty() ? "" : "; did you mean \"" + nearest + "\"?");
+}
+
+} // namespace
+
+// Applies an accepted command's body.
+struct configuration::applier {
+  configuration& state;
+  const record& from;
+  change_stamp stamp;
+
+  void operator()(const publish_command& value) const {
+    for (failure_domain item : value.domains) {
+      const failure_domain* known = state.find_domain(item.name);
+      item.withdrawn = known != nullptr && known->withdrawn;
+      item.changed = stamp;
+      state.replace(state.domains_, item.name, item);
+    }
+    for (const std::string& name : value.removed_routes) {
+      state.erase(state.routes_, name);
+    }
+    for (service item : value.services) {
+      item.changed = stamp;
+      state.replace(state.services_, item.name, item);
+    }
+    for (route item : value.routes) {
+      item.changed = stamp;
+      state.replace(state.routes_, item.name, item);
+    }
+    for (const std::string& name : value.removed_services) {
+      state.erase(state.services_, name);
+      state.erase(state.moves_, name);
+    }
+  }
+
+  void operator()(const move_command& value) const {
+    move started;
+    started.id = stamp.version;
+    started.service = value.service;
+    started.from = value.from;
+    started.to = value.to;
+    started.started = from.issued;
+    started.by = value.by;
+    started.limits = value.limits;
+    started.changed = stamp;
+    state.replace(state.moves_, value.service, started);
+  }
+
+  void operator()(const stop_move_command& value) const {
+    end_move(value.service, move_state::stopped, "stopped by " + from.operator_name);
+  }
+
+  void operator()(const move_step_command& value) const {
+    move changed = *state.find_move(value.move_id);
+    changed.share_permille = value.share_permille;
+    changed.changed = stamp;
+    state.replace(state.moves_, changed.service, changed);
+  }
+
+  void operator()(const move_verdict_command& value) const {
+    const move judged = *state.find_move(value.move_id);
+    end_move(judged.service, value.done ? move_state::done : move_state::taken_back, value.reason);
+    if (!value.done) {
+      return;
+    }
+    service changed = state.services_.at(judged.service);
+    changed.active = judged.to;
+    changed.changed = stamp;
+    state.replace(state.services_, changed.name, changed);
+  }
+
+  void operator()(const withdraw_command& value) const { set_withdrawn(value.domain, true); }
+  void operator()(const return_command& value) const { set_withdrawn(value.domain, false); }
+
+private:
+  void end_move(const std::string& service_name, move_state end, std::string reason) const {
+    move ended = state.moves_.at(service_name);
+    ended.state = end;
+    ended.reason = std::move(reason);
+    ended.share_permille = end == move_state::done ? 1000 : 0;
+    ended.changed = stamp;
+    state.replace(state.moves_, service_name, ended);
+  }
+
+  void set_withdrawn(const std::string& name, bool withdrawn) const {
+    failure_domain changed = state.domains_.at(name);
+    changed.withdrawn = withdrawn;
+    changed.changed = stamp;
+    state.replace(state.domains_, name, changed);
+  }
+};
+
+template <typename Value>
+void configuration::replace(std::map<std::string, Value>& objects, const std::string& name,
+                            Value value) {
+  erase(objects, name);
+  objects_hash_ ^= hash_of(value);
+  objects.emplace(name, std::move(value));
+}
+
+template <typename Value>
+void configuration::erase(std::map<std::string, Value>& objects, const std::string& name) {
+  const typename std::map<std::string, Value>::iterator found = objects.find(name);
+  if (found != objects.end()) {
+    objects_hash_ ^= hash_of(found->second);
+    objects.erase(found);
+  }
+}
+
+fold_result configuration::fold(config_version offset, std::string_view bytes) {
+  if (offset != version_ + 1) {
+    return {fold_status::out_of_order, {}, {}};
+  }
+  record parsed;
+  try {
+    parsed = parse_record(bytes);
+  } catch (const findings_error& error) {
+    version_ = offset;
+    ++malformed_records_;
+    return {fold_status::malformed, error.findings(), {}};
+  }
+  if (outcomes_.contains(parsed.command_id)) {
+    version_ = offset;
+    return {fold_status::repeated, {}, parsed.command_id};
+  }
+  finding_list findings;
+  check_against(parsed, findings);
+  if (findings.empty()) {
+    check_command(parsed.body, findings);
+  }
+  version_ = offset;
+  if (findings.empty()) {
+    apply(parsed);
+  }
+  remember(parsed.command_id,
+           {offset, findings.empty(), findings_error::describe(findings.items())});
+  return {findings.empty() ? fold_status::accepted : fold_status::refused, findings.items(),
+          parsed.command_id};
+}
+
+std::vector<finding> configuration::check(const command& value) const {
+  finding_list findings;
+  check_command(value, findings);
+  return findings.items();
+}
+
+std::uint64_t configuration::state_hash() const noexcept {
+  return objects_hash_ ^ rendezvous_weight(version_, malformed_records_);
+}
+
+void configuration::apply(const record& value) {
+  const change_stamp stamp{version_, value.command_id, value.operator_name};
+  std::visit(applier{*this, value, stamp}, value.body);
+}
+
+void configuration::remember(const std::string& command_id, command_outcome outcome) {
+  objects_hash_ ^= hash_of(command_id, outcome);
+  outcomes_.emplace(command_id, std::move(outcome));
+  outcome_order_.push_back(command_id);
+  if (outcome_order_.size() <= remembered_commands) {
+    return;
+  }
+  const std::string oldest = outcome_order_.front();
+  outcome_order_.pop_front();
+  objects_hash_ ^= hash_of(oldest, outcomes_.at(oldest));
+  outcomes_.erase(oldest);
+}
+
+const change_stamp* configuration::stamp_of(std::string_view key) const {
+  const std::size_t slash = key.find('/');
+  const std::string kind(key.substr(0, slash));
+  const std::string name(slash == std::string_view::npos ? "" : key.substr(slash + 1));
+  const auto look_up = [&name](const auto& objects) -> const change_stamp* {
+    const auto found = objects.find(name);
+    return found == objects.end() ? nullptr : &found->second.changed;
+  };
+  if (kind == "service") {
+    return look_up(services_);
+  }
+  if (kind == "route") {
+    return look_up(routes_);
+  }
+  if (kind == "domain") {
+    return look_up(domains_);
+  }
+  return kind == "move" ? look_up(moves_) : nullptr;
+}
+
+config_version configuration::object_version(std::string_view key) const {
+  const change_stamp* stamp = stamp_of(key);
+  return stamp == nullptr ? 0 : stamp->version;
+}
+
+void configuration::check_against(const record& value, finding_list& findings) const {
+  for (const auto& [key, seen] : value.against) {
+    const change_stamp* stamp = stamp_of(key);
+    if (stamp == nullptr && seen != 0) {
+      findings.add(key, "was removed after version " + std::to_string(seen));
+    } else if (stamp != nullptr && stamp->version != seen) {
+      findings.add(key, "written against version " + std::to_string(seen) + ", but " +
+                            stamp->operator_name + " changed it at version " +
+                            std::to_string(stamp->version) + " by command " + stamp->command_id);
+    }
+  }
+}
+
+void configuration::check_command(const command& value, finding_list& findings) const {
+  if (const publish_command* publish = std::get_if<publish_command>(&value)) {
+    check_publish(*publish, findings);
+  } else if (const move_command* started = std::get_if<move_command>(&value)) {
+    check_move(*started, findings);
+  } else if (const stop_move_command* stop = std::get_if<stop_move_command>(&value)) {
+    if (running_move(stop->service) == nullptr) {
+      findings.add("service", "no move of \"" + stop->service + "\" is running");
+    }
+  } else if (const move_step_command* step = std::get_if<move_step_command>(&value)) {
+    check_judgement(step->move_id, findings);
+    const move* stepped = find_move(step->move_id);
+    if (stepped != nullptr && step->share_permille <= stepped->share_permille) {
+      findings.add("share_permille", "the move is at " + std::to_string(stepped->share_permille));
+    }
+  } else if (const move_verdict_command* verdict = std::get_if<move_verdict_command>(&value)) {
+    check_judgement(verdict->move_id, findings);
+  } else if (const withdraw_command* withdrawn = std::get_if<withdraw_command>(&value)) {
+    check_domain(withdrawn->domain, true, findings);
+  } else if (const return_command* returned = std::get_if<return_command>(&value)) {
+    check_domain(returned->domain, false, findings);
+  }
+}
+
+void configuration::check_publish(const publish_command& value, finding_list& findings) const {
+  check_services(value, findings);
+  check_routes(value, findings);
+}
+
+void configuration::check_services(const publish_command& value, finding_list& findings) const {
+  for (std::size_t i = 0; i < value.services.size(); ++i) {
+    const service& item = value.services[i];
+    const std::string place = "services[" + std::to_string(i) + "]";
+    const auto has_version = [&item](const std::string& name) {
+      return std::find(item.versions.begin(), item.versions.end(), name) != item.versions.end();
+    };
+    if (!has_version(item.active)) {
+      findings.add(place + ".active", "unknown version \"" + item.active + "\"");
+    }
+    const service* known = find_service(item.name);
+    if (known != nullptr && known->active != item.active) {
+      findings.add(place + ".active", "\"" + known->active + "\" is active; use move to change it");
+    }
+    const move* running = running_move(item.name);
+    if (running != nullptr && !(has_version(running->from) && has_version(running->to))) {
+      findings.add(place + ".versions", "a running move needs versions \"" + running->from +
+                                            "\" and \"" + running->to + "\"");
+    }
+  }
+  for (std::size_t i = 0; i < value.removed_services.size(); ++i) {
+    const std::string& name = value.removed_services[i];
+    const std::string place = "remove_services[" + std::to_string(i) + "]";
+    if (find_service(name) == nullptr) {
+      findings.add(place, with_nearest("unknown service", name, services_));
+    }
+    if (running_move(name) != nullptr) {
+      findings.add(place, "a move of \"" + name + "\" is running");
+    }
+  }
+}
+
+void configuration::check_routes(const publish_command& value, finding_list& findings) const {
+  std::map<std::string, service> services_after = services_;
+  for (const service& item : value.services) {
+    services_after[item.name] = item;
+  }
+  for (const std::string& name : value.removed_services) {
+    services_after.erase(name);
+  }
+  std::map<std::string, route> routes_kept = routes_;
+  for (const std::string& name : value.removed_routes) {
+    if (routes_kept.erase(name) == 0) {
+      findings.add("remove_routes", with_nearest("unknown route", name, routes_));
+    }
+  }
+  std::map<std::string, std::string> route_by_prefix;
+  for (std::size_t i = 0; i < value.routes.size(); ++i) {
+    const route& item = value.routes[i];
+    const std::string place = "routes[" + std::to_string(i) + "]";
+    if (!services_after.contains(item.service)) {
+      findings.add(place + ".service",
+                   with_nearest("unknown service", item.service, services_after));
+    }
+    if (!route_by_prefix.emplace(item.path_prefix, item.name).second) {
+      findings.add(place + ".path_prefix", "stands twice in this document");
+    }
+    routes_kept.erase(item.name);
+  }
+  for (const auto& [name, item] : routes_kept) {
+    if (!services_after.contains(item.service)) {
+      findings.add("remove_services", "route \"" + name + "\" needs \"" + item.service + "\"");
+    }
+    const std::map<std::string, std::string>::iterator taken =
+        route_by_prefix.find(item.path_prefix);
+    if (taken != route_by_prefix.end()) {
+      findings.add("routes",
+                   "route \"" + name + "\" has the path prefix of \"" + taken->second + "\"");
+    }
+  }
+}
+
+void configuration::check_move(const move_command& value, finding_list& findings) const {
+  const service* known = find_service(value.service);
+  if (known == nullptr) {
+    findings.add("service", with_nearest("unknown service", value.service, services_));
+    return;
+  }
+  if (known->active != value.from) {
+    findings.add("from", "\"" + known->active + "\" is active, not \"" + value.from + "\"");
+  }
+  if (std::find(known->versions.begin(), known->versions.end(), value.to) ==
+      known->versions.end()) {
+    findings.add("to", "unknown version \"" + value.to + "\" of \"" + value.service + "\"");
+  }
+  if (value.from == value.to) {
+    findings.add("to", "is the version that the move starts from");
+  }
+  const move* running = running_move(value.service);
+  if (running != nullptr) {
+    findings.add("service", "move " + std::to_string(running->id) + " to \"" + running->to +
+                                "\" is running, commanded by " + running->changed.operator_name);
+  }
+}
+
+void configuration::check_judgement(config_version move_id, finding_list& findings) const {
+  const move* judged = find_move(move_id);
+  if (judged == nullptr) {
+    findings.add("move", "unknown move " + std::to_string(move_id));
+  } else if (judged->state != move_state::running) {
+    findings.add("move",
+                 "move " + std::to_string(move_id) + " has ended: " + to_string(judged->state));
+  }
+}
+
+void configuration::check_domain(const std::string& name, bool withdraw,
+                                 finding_list& findings) const {
+  const failure_domain* known = find_domain(name);
+  if (known == nullptr) {
+    findings.add("domain", with_nearest("unknown failure domain", name, domains_));
+    return;
+  }
+  if (known->withdrawn == withdraw) {
+    findings.add("domain", "\"" + name + "\" is " + (withdraw ? "already" : "not") + " withdrawn");
+    return;
+  }
+  const auto in_use = [&name](const auto& item) {
+    return item.first != name && !item.second.withdrawn;
+  };
+  if (withdraw && std::none_of(domains_.begin(), domains_.end(), in_use)) {
+    findings.add("domain", "\"" + name + "\" is the last failure domain in use");
+  }
+}
+
+const service* configuration::find_service(std::string_view name) const {
+  const std::map<std::string, service>::const_iterator found = services_.find(std::string(name));
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+const failure_domain* configuration::find_domain(std::string_view name) const {
+  const std::map<std::string, failure_domain>::const_iterator found =
+      domains_.find(std::string(name));
+  return found == domains_.end() ? nullptr : &found->second;
+}
+
+const move* configuration::find_move(config_version id) const {
+  for (const auto& [service_name, value] : moves_) {
+    if (value.id == id) {
+      return &value;
+    }
+  }
+  return nullptr;
+}
+
+const move* configuration::running_move(std::string_view service) const {
+  const std::map<std::string, move>::const_iterator found = moves_.find(std::string(service));
+  if (found == moves_.end() || found->second.state != move_state::running) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+const route* configuration::match_route(std::string_view path) const {
+  const route* best = nullptr;
+  for (const auto& [name, value] : routes_) {
+    const bool longer = best == nullptr || value.path_prefix.size() > best->path_prefix.size();
+    if (longer && is_path_prefix(value.path_prefix, path)) {
+      best = &value;
+    }
+  }
+  return best;
+}
+
+std::optional<command_outcome> configuration::outcome_of(const std::string& command_id) const {
+  const std::unordered_map<std::string, command_outcome>::const_iterator found =
+      outcomes_.find(command_id);
+  if (found == outcomes_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::string configuration::snapshot() const {
+  json outcomes = json::array();
+  for (const std::string& id : outcome_order_) {
+    const command_outcome& outcome = outcomes_.at(id);
+    outcomes.push_back({id, outcome.version, outcome.accepted, outcome.text});
+  }
+  const json document = {{"format", snapshot_format},
+                         {"version", version_},
+                         {"malformed_records", malformed_records_},
+                         {"domains", objects_of(domains_)},
+                         {"services", objects_of(services_)},
+                         {"routes", objects_of(routes_)},
+                         {"moves", objects_of(moves_)},
+                         {"outcomes", outcomes}};
+  return document.dump();
+}
+
+configuration configuration::from_snapshot(std::string_view bytes) {
+  const json document = parse_json_with_comments(bytes);
+  finding_list findings;
+  object_reader reader(document, "", findings);
+  configuration state;
+  reader.required_integer("format", snapshot_format, snapshot_format);
+  state.version_ = static_cast<config_version>(reader.required_integer("version", 0, max_integer));
+  state.malformed_records_ =
+      static_cast<std::uint64_t>(reader.required_integer("malformed_records", 0, max_integer));
+  for (const failure_domain& item :
+       internal::read_all(reader, "domains", findings, internal::read_domain)) {
+    state.replace(state.domains_, item.name, item);
+  }
+  for (const service& item :
+       internal::read_all(reader, "services", findings, internal::read_service)) {
+    state.replace(state.services_, item.name, item);
+  }
+  for (const route& item : internal::read_all(reader, "routes", findings, internal::read_route)) {
+    state.replace(state.routes_, item.name, item);
+  }
+  for (const move& item : internal::read_all(reader, "moves", findings, internal::read_move)) {
+    state.replace(state.moves_, item.service, item);
+  }
+  findings.throw_if_any();
+  try {
+    for (const json& item : document.at("outcomes")) {
+      state.remember(item.at(0).get<std::string>(),
+                     {item.at(1).get<config_version>(), item.at(2).get<bool>(),
+                      item.at(3).get<std::string>()});
+    }
+  } catch (const json::exception&) {
+    throw findings_error(std::vector<finding>{{"outcomes", "malformed"}});
+  }
+  return state;
+}
+
+} // namespace arbutuslb::core::config
--- /dev/null
+++ b/src/arbutuslb/core/engine/call_router.cc
@@ -0,0 +1,508 @@
+#include "arbutuslb/core/engine/call_router.h"
+
+#include "arbutuslb/core/base/hash.h"
+
+#include <algorithm>
+
+namespace arbutuslb::core::engine {
+namespace {
+
+using calls::key_result;
+using calls::key_state;
+using calls::minted_key;
+using protocol::call_outcome;
+using protocol::call_reply;
+using protocol::call_request;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_too_large = 413;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+constexpr int first_error_status = 500;
+
+std::uint64_t fingerprint_of(const std::string& service, const protocol::call_content& content) {
+  const std::uint64_t head = hash_bytes(service + " " + content.method + " " + content.path);
+  return hash_bytes(content.body, head);
+}
+
+key_result not_run(std::string reason) {
+  return {call_outcome::not_run, std::move(reason), {status_unavailable, "", ""}};
+}
+
+key_result unknown(std::string reason) {
+  return {call_outcome::unknown, std::move(reason), {status_gateway_timeout, "", ""}};
+}
+
+} // namespace
+
+call_router::call_router(context& shared, calls::poison_registry& poison)
+    : shared_(shared), poison_(poison), directory_(shared.self.id, shared.settings.domain) {}
+
+// --- taking a call ---
+
+std::string call_router::reason_to_refuse(const call_received& call) const {
+  if (shared_.is_stopping) {
+    return "daemon is leaving";
+  }
+  if (shared_.configuration.version() == 0) {
+    return "no configuration yet";
+  }
+  return call.content.depth > max_depth ? "call is too deep" : "";
+}
+
+void call_router::on_call(const call_received& call) {
+  const std::string reason = reason_to_refuse(call);
+  if (!reason.empty()) {
+    refuse(call, reason, status_unavailable);
+    return;
+  }
+  if (call.content.path == mint_path) {
+    mint(call);
+    return;
+  }
+  if (call.content.body.size() > protocol::max_body_bytes) {
+    refuse(call, "body is too large", status_too_large);
+    return;
+  }
+  const config::route* route = shared_.configuration.match_route(call.content.path);
+  if (route == nullptr) {
+    refuse(call, "no route for this path", status_not_found);
+    return;
+  }
+  if (call.time_left <= duration::zero()) {
+    refuse(call, "deadline is missing or has passed", status_bad_request);
+    return;
+  }
+  if (poison_.is_refused(fingerprint_of(route->service, call.content), shared_.now)) {
+    ++shared_.totals.poison_refusals;
+    refuse(call, "request has crashed upstreams", status_unavailable);
+    return;
+  }
+  if (!route->idempotent) {
+    start_keyed(call, *route);
+    return;
+  }
+  pending_call fresh;
+  fresh.token = call.token;
+  fresh.content = call.content;
+  fresh.service = route->service;
+  fresh.route = route->name;
+  fresh.priority = route->priority;
+  fresh.fingerprint = fingerprint_of(route->service, call.content);
+  fresh.began = shared_.now;
+  fresh.deadline = shared_.now + call.time_left;
+  budgets_[fresh.service].on_call(shared_.configuration.find_service(fresh.service)->retry_budget);
+  dispatch(std::move(fresh));
+}
+
+void call_router::refuse(const call_received& call, const std::string& reason, int status) {
+  key_result result = not_run(reason);
+  result.answer.status = status;
+  answer(call.token, std::move(result), "", config::request_class::normal, shared_.now);
+}
+
+// --- keys ---
+
+void call_router::mint(const call_received& call) {
+  const minted_key key{shared_.self.id, shared_.self.boot, keys_.mint()};
+  answer(call.token, {call_outcome::answered, "", {status_ok, "text/plain", to_string(key)}}, "",
+         config::request_class::normal, shared_.now);
+}
+
+void call_router::start_keyed(const call_received& call, const config::route& route) {
+  const std::optional<minted_key> key = calls::parse_minted_key(call.content.key);
+  if (!key) {
+    refuse(call,
+           call.content.key.empty() ? "key is missing; get one from /-/key" : "key is malformed",
+           status_bad_request);
+    return;
+  }
+  if (key->home != shared_.self.id) {
+    forward_to_home(call, route, *key);
+    return;
+  }
+  const waiter who{call.token,     std::nullopt, route.service,
+                   route.priority, shared_.now,  shared_.now + call.time_left};
+  if (key->boot != shared_.self.boot) {
+    tell(who, unknown("the key's home has restarted"));
+    return;
+  }
+  begin_key(key->number, call.content, route, who);
+}
+
+void call_router::begin_key(std::uint64_t number, const protocol::call_content& content,
+                            const config::route& route, waiter who) {
+  const std::uint64_t waiter_number = shared_.next_number();
+  const key_state state = keys_.begin(number, waiter_number, shared_.now);
+  if (state == key_state::finished) {
+    tell(who, keys_.result_of(number));
+    return;
+  }
+  if (state == key_state::forgotten) {
+    tell(who, unknown("the key is too old"));
+    return;
+  }
+  if (state == key_state::not_minted) {
+    key_result refusal = not_run("the key was never minted");
+    refusal.answer.status = status_bad_request;
+    tell(who, refusal);
+    return;
+  }
+  waiters_.emplace(waiter_number, who);
+  if (state == key_state::running) {
+    return;
+  }
+  pending_call fresh;
+  fresh.key_number = number;
+  fresh.content = content;
+  fresh.service = route.service;
+  fresh.route = route.name;
+  fresh.priority = route.priority;
+  fresh.idempotent = false;
+  fresh.fingerprint = fingerprint_of(route.service, content);
+  fresh.began = who.began;
+  fresh.deadline = who.deadline;
+  dispatch(std::move(fresh));
+}
+
+void call_router::forward_to_home(const call_received& call, const config::route& route,
+                                  const minted_key& key) {
+  const membership::member* home = shared_.members.find(key.home);
+  const time_point deadline = shared_.now + call.time_left;
+  const waiter who{call.token, std::nullopt, route.service, route.priority, shared_.now, deadline};
+  if (home == nullptr || home->status == membership::member_status::dead ||
+      home->boot != key.boot) {
+    tell(who, unknown("the key's home is gone"));
+    return;
+  }
+  forwarded_call forwarded;
+  forwarded.token = call.token;
+  forwarded.home = key;
+  forwarded.request = {shared_.next_number(), call.time_left, call.content};
+  forwarded.service = route.service;
+  forwarded.priority = route.priority;
+  forwarded.began = shared_.now;
+  forwarded.deadline = deadline;
+  forwarded.resend_at = shared_.now + keyed_resend_period;
+  shared_.send(key.home, forwarded.request, channel::stream);
+  forwarded_.emplace(forwarded.request.token, std::move(forwarded));
+}
+
+void call_router::on_keyed_request(const protocol::message& from,
+                                   const protocol::keyed_request& request) {
+  const std::optional<minted_key> key = calls::parse_minted_key(request.content.key);
+  const config::route* route = shared_.configuration.match_route(request.content.path);
+  const waiter who{request.token,
+                   from.sender.id,
+                   "",
+                   config::request_class::normal,
+                   shared_.now,
+                   shared_.now + request.remaining};
+  if (!key || key->home != shared_.self.id || key->boot != shared_.self.boot) {
+    tell(who, unknown("the key's home has restarted"));
+  } else if (route == nullptr || route->idempotent) {
+    tell(who, unknown("the key's home has no such route"));
+  } else {
+    begin_key(key->number, request.content, *route, who);
+  }
+}
+
+void call_router::on_keyed_reply(const protocol::keyed_reply& reply) {
+  const std::map<std::uint64_t, forwarded_call>::iterator found = forwarded_.find(reply.token);
+  if (found == forwarded_.end()) {
+    return;
+  }
+  const forwarded_call call = std::move(found->second);
+  forwarded_.erase(found);
+  answer(call.token, {reply.outcome, reply.reason, reply.answer}, call.service, call.priority,
+         call.began);
+}
+
+void call_router::tell(const waiter& who, const key_result& result) {
+  if (!who.peer) {
+    answer(who.token, result, who.service, who.priority, who.began);
+    return;
+  }
+  shared_.send(*who.peer,
+               protocol::keyed_reply{who.token, result.outcome, result.reason, result.answer},
+               channel::stream);
+}
+
+// --- attempts ---
+
+std::string call_router::choose_version(const config::service& service, const pending_call& call) {
+  const config::move* running = shared_.configuration.running_move(service.name);
+  if (running == nullptr || braked_moves_.contains(running->id)) {
+    return service.active;
+  }
+  constexpr double permille = 1000.0;
+  const bool is_new = shared_.random.fraction() * permille < running->share_permille;
+  // A retry goes to the old version, so that a weak new version costs a call one attempt at most.
+  return is_new && call.attempts == 0 ? running->to : running->from;
+}
+
+std::optional<member_id> call_router::choose_target(pending_call& call) {
+  const config::service* service = shared_.configuration.find_service(call.service);
+  if (service == nullptr) {
+    return std::nullopt;
+  }
+  call.version = choose_version(*service, call);
+  const std::optional<member_id> chosen =
+      directory_.choose({call.service, call.version, call.priority, call.tried}, shared_.members,
+                        shared_.configuration, shared_.now, shared_.random);
+  const config::move* running = shared_.configuration.running_move(service->name);
+  if (chosen || running == nullptr || braked_moves_.contains(running->id)) {
+    return chosen;
+  }
+  const bool was_new = call.version == running->to;
+  if (!was_new && running->share_permille < 1000) {
+    return std::nullopt; // the new version is no refuge while it is on trial
+  }
+  call.version = was_new ? running->from : running->to;
+  return directory_.choose({call.service, call.version, call.priority, call.tried}, shared_.members,
+                           shared_.configuration, shared_.now, shared_.random);
+}
+
+void call_router::dispatch(pending_call call) {
+  const std::optional<member_id> target = choose_target(call);
+  if (!target) {
+    finish(call, not_run("no upstream can take the request"));
+    return;
+  }
+  send_attempt(std::move(call), *target);
+}
+
+void call_router::send_attempt(pending_call call, member_id target) {
+  const membership::member* peer = shared_.members.find(target);
+  const duration remaining = call.deadline - shared_.now;
+  call.target = target;
+  call.target_boot = peer->boot;
+  call.sent = shared_.now;
+  ++call.attempts;
+  // An idempotent call keeps time for a second attempt.
+  call.attempt_time = call.idempotent && call.attempts == 1 ? remaining / 2 : remaining;
+  call.tried.push_back(target);
+  directory_.stats_of(target, peer->boot).on_sent();
+  call_request request;
+  request.id = {shared_.self.id, shared_.self.boot, shared_.next_number()};
+  request.target_boot = peer->boot;
+  request.service = call.service;
+  request.route = call.route;
+  request.version = call.version;
+  request.priority = call.priority;
+  request.idempotent = call.idempotent;
+  request.remaining = remaining;
+  request.fingerprint = call.fingerprint;
+  request.content = call.content;
+  const call_id id = request.id;
+  if (call.token != 0) {
+    ids_by_token_[call.token] = id;
+  }
+  calls_.emplace(id, std::move(call));
+  if (target == shared_.self.id) {
+    local_requests_.push_back(std::move(request));
+  } else {
+    shared_.send(target, std::move(request), channel::stream);
+  }
+}
+
+void call_router::on_reply(const call_reply& reply) {
+  const std::map<call_id, pending_call>::iterator found = calls_.find(reply.id);
+  if (found == calls_.end()) {
+    return; // late or not ours
+  }
+  pending_call call = std::move(found->second);
+  calls_.erase(found);
+  routing::endpoint_stats& stats = directory_.stats_of(call.target, call.target_boot);
+  if (reply.load.limit > 0) {
+    stats.on_load(reply.load.limit, reply.load.in_flight, shared_.now);
+  }
+  if (reply.upstream_died && poison_.merge(call.fingerprint, 1, shared_.now)) {
+    shared_.write(severity::warning, "request_suspected", {{"route", call.route}});
+  }
+  switch (reply.outcome) {
+  case call_outcome::answered:
+    if (reply.answer.status >= first_error_status) {
+      stats.on_failed(shared_.now);
+    } else {
+      stats.on_answer(shared_.now - call.sent);
+    }
+    finish(call, {call_outcome::answered, "", reply.answer});
+    break;
+  case call_outcome::not_run:
+    stats.on_refused(shared_.now, refusal_pause + shared_.random.jitter(refusal_pause));
+    retry_or_finish(std::move(call), not_run(reply.reason));
+    break;
+  case call_outcome::unknown:
+    stats.on_failed(shared_.now);
+    retry_or_finish(std::move(call), unknown(reply.reason));
+    break;
+  }
+}
+
+void call_router::retry_or_finish(pending_call call, key_result result) {
+  call.may_have_run = call.may_have_run || result.outcome == call_outcome::unknown;
+  const bool is_safe = call.idempotent || result.outcome == call_outcome::not_run;
+  const bool is_suspect = poison_.is_suspect(call.fingerprint, shared_.now);
+  const bool is_worthwhile =
+      !call.gave_up && call.attempts < max_attempts && shared_.now < call.deadline && !is_suspect;
+  if (is_safe && is_worthwhile && budgets_[call.service].take()) {
+    ++shared_.totals.retries;
+    const std::optional<member_id> target = choose_target(call);
+    if (target) {
+      send_attempt(std::move(call), *target);
+      return;
+    }
+  }
+  if (call.may_have_run && result.outcome == call_outcome::not_run) {
+    result = unknown("an earlier attempt may have run; the last: " + result.reason);
+  }
+  finish(call, std::move(result));
+}
+
+void call_router::finish(const pending_call& call, key_result result) {
+  if (call.key_number == 0) {
+    ids_by_token_.erase(call.token);
+    if (!call.gave_up) {
+      answer(call.token, std::move(result), call.service, call.priority, call.began);
+    }
+    return;
+  }
+  const std::vector<std::uint64_t> waiting = keys_.take_waiters(call.key_number);
+  keys_.finish(call.key_number, result);
+  for (const std::uint64_t number : waiting) {
+    const std::map<std::uint64_t, waiter>::iterator found = waiters_.find(number);
+    if (found != waiters_.end()) {
+      tell(found->second, result);
+      waiters_.erase(found);
+    }
+  }
+}
+
+void call_router::answer(std::uint64_t token, key_result result, const std::string& service,
+                         config::request_class priority, time_point began) {
+  if (token == 0) {
+    return;
+  }
+  switch (result.outcome) {
+  case call_outcome::answered:
+    ++shared_.totals.calls_answered;
+    break;
+  case call_outcome::not_run:
+    ++shared_.totals.calls_not_run;
+    break;
+  case call_outcome::unknown:
+    ++shared_.totals.calls_unknown;
+    break;
+  }
+  shared_.act(answer_caller{token, result.outcome, std::move(result.reason),
+                            std::move(result.answer), priority, service, shared_.now - began});
+}
+
+// --- time and failures ---
+
+bool call_router::is_target_gone(const pending_call& call) const {
+  const membership::member* target = shared_.members.find(call.target);
+  return target == nullptr || target->boot != call.target_boot ||
+         target->status == membership::member_status::dead;
+}
+
+void call_router::cancel_attempt(const call_id& id, const pending_call& call) {
+  if (call.target == shared_.self.id) {
+    local_cancels_.push_back(id);
+  } else {
+    shared_.send(call.target, protocol::call_cancel{id}, channel::stream);
+  }
+}
+
+void call_router::check_pending() {
+  std::vector<call_id> ended;
+  for (const auto& [id, call] : calls_) {
+    const bool is_late = shared_.now >= std::min(call.deadline, call.sent + call.attempt_time);
+    if ((is_late && !call.gave_up) || is_target_gone(call) ||
+        (call.gave_up && shared_.now >= call.deadline + calls::key_memory)) {
+      ended.push_back(id);
+    }
+  }
+  for (const call_id& id : ended) {
+    pending_call call = std::move(calls_.at(id));
+    calls_.erase(id);
+    if (call.gave_up) {
+      continue;
+    }
+    directory_.stats_of(call.target, call.target_boot).on_failed(shared_.now);
+    const bool is_gone = is_target_gone(call);
+    if (!is_gone) {
+      cancel_attempt(id, call);
+    }
+    const key_result result = unknown(is_gone ? "upstream's daemon is gone" : "deadline passed");
+    if (call.idempotent || is_gone) {
+      retry_or_finish(std::move(call), result);
+      continue;
+    }
+    // The answer may still come: it is kept for a repeat with the same key.
+    finish(call, result);
+    call.gave_up = true;
+    calls_.emplace(id, std::move(call));
+  }
+}
+
+void call_router::check_forwarded() {
+  std::vector<std::uint64_t> ended;
+  for (auto& [number, call] : forwarded_) {
+    const membership::member* home = shared_.members.find(call.home.home);
+    const bool is_gone = home == nullptr || home->boot != call.home.boot ||
+                         home->status == membership::member_status::dead;
+    if (shared_.now >= call.deadline || is_gone) {
+      ended.push_back(number);
+    } else if (shared_.now >= call.resend_at) {
+      // The home tells repeats apart by the key.
+      call.resend_at = shared_.now + keyed_resend_period;
+      call.request.remaining = call.deadline - shared_.now;
+      shared_.send(call.home.home, call.request, channel::stream);
+    }
+  }
+  for (const std::uint64_t number : ended) {
+    const forwarded_call call = std::move(forwarded_.at(number));
+    forwarded_.erase(number);
+    answer(call.token, unknown("the key's home did not answer"), call.service, call.priority,
+           call.began);
+  }
+}
+
+void call_router::on_tick() {
+  check_pending();
+  check_forwarded();
+  keys_.forget(shared_.now);
+}
+
+bool call_router::is_idle() const {
+  const auto is_waiting = [](const auto& item) { return !item.second.gave_up; };
+  return forwarded_.empty() && std::none_of(calls_.begin(), calls_.end(), is_waiting);
+}
+
+void call_router::on_abandoned(const call_abandoned& call) {
+  const std::map<std::uint64_t, call_id>::iterator found = ids_by_token_.find(call.token);
+  if (found == ids_by_token_.end()) {
+    return;
+  }
+  const call_id id = found->second;
+  ids_by_token_.erase(found);
+  const std::map<call_id, pending_call>::iterator pending = calls_.find(id);
+  if (pending == calls_.end()) {
+    return;
+  }
+  directory_.stats_of(pending->second.target, pending->second.target_boot).on_cancelled();
+  cancel_attempt(id, pending->second);
+  calls_.erase(pending);
+}
+
+void call_router::reset_domain(const std::string& domain) {
+  for (const member_id id : shared_.members.present_in(domain)) {
+    directory_.reset(id);
+  }
+}
+
+} // namespace arbutuslb::core::engine
--- /dev/null
+++ b/src/arbutuslb/core/engine/command_writer.cc
@@ -0,0 +1,68 @@
+#include "arbutuslb/core/engine/command_writer.h"
+
+namespace arbutuslb::core::engine {
+
+void command_writer::submit(const config::record& value, time_point deadline) {
+  pending_command command;
+  command.bytes = config::serialize(value);
+  command.deadline = deadline;
+  pending_.try_emplace(value.command_id, std::move(command));
+  on_tick();
+}
+
+void command_writer::on_log_appended(const log_appended& result) {
+  for (auto& [id, command] : pending_) {
+    if (command.request != result.request) {
+      continue;
+    }
+    command.request = 0;
+    command.retry_at = shared_.now + append_retry_pause + shared_.random.jitter(append_retry_pause);
+    command.is_appended = command.is_appended || result.result == append_result::appended;
+    command.may_be_appended = command.may_be_appended || result.result != append_result::refused;
+    shared_.wants_log_read = shared_.wants_log_read || command.is_appended;
+  }
+}
+
+void command_writer::advance(const std::string& command_id, pending_command& command) {
+  if (command.request != 0 && shared_.now - command.sent > append_timeout) {
+    command.request = 0;
+    command.may_be_appended = true;
+  }
+  if (command.request != 0 || command.is_appended || shared_.now < command.retry_at ||
+      shared_.now >= command.deadline) {
+    return;
+  }
+  if (command.may_be_appended) {
+    shared_.write(severity::info, "append_repeated", {{"command", command_id}});
+  }
+  command.request = shared_.next_number();
+  command.sent = shared_.now;
+  ++shared_.totals.log_appends;
+  shared_.act(append_log{command.request, config_stream, command.bytes});
+}
+
+void command_writer::on_tick() {
+  std::vector<std::string> ended;
+  for (auto& [id, command] : pending_) {
+    const std::optional<config::command_outcome> outcome = shared_.configuration.outcome_of(id);
+    if (outcome) {
+      settled_.push_back(
+          {id, outcome->accepted ? settled_as::accepted : settled_as::refused, *outcome});
+      ended.push_back(id);
+      continue;
+    }
+    if (shared_.now >= command.deadline) {
+      const bool may_take_effect = command.may_be_appended || command.request != 0;
+      settled_.push_back(
+          {id, may_take_effect ? settled_as::unknown : settled_as::not_appended, {}});
+      ended.push_back(id);
+      continue;
+    }
+    advance(id, command);
+  }
+  for (const std::string& id : ended) {
+    pending_.erase(id);
+  }
+}
+
+} // namespace arbutuslb::core::engine
--- /dev/null
+++ b/src/arbutuslb/core/engine/context.cc
@@ -0,0 +1,105 @@
+#include "arbutuslb/core/engine/context.h"
+
+#include "arbutuslb/core/base/hash.h"
+
+namespace arbutuslb::core::engine {
+
+using membership::member;
+using membership::member_status;
+
+namespace {
+
+// Random low bits keep two processes apart that start within the same millisecond.
+constexpr int boot_random_bits = 20;
+
+} // namespace
+
+context::context(core_settings given, std::uint64_t seed, time_point start)
+    : settings(std::move(given)), random(seed), now(start) {
+  self.id = member_id_of(settings.instance);
+  self.name = settings.instance;
+  self.address = settings.address;
+  self.domain = settings.domain;
+  self.service = settings.service;
+  self.version = settings.version;
+  const std::uint64_t started_ms = static_cast<std::uint64_t>(to_epoch_milliseconds(start));
+  self.life = incarnation{started_ms};
+  self.boot = incarnation{(started_ms << boot_random_bits) | random.below(1 << boot_random_bits)};
+  learn(self);
+}
+
+protocol::digest context::held() const {
+  return {configuration.version(), configuration.state_hash(), now - log_confirmed_at,
+          members.fleet_hash()};
+}
+
+void context::send(member_id to, protocol::message_body body, channel via) {
+  const member* target = members.find(to);
+  if (target != nullptr && to != self.id) {
+    send_to(target->address, std::move(body), via);
+  }
+}
+
+void context::send_to(const peer_address& to, protocol::message_body body, channel via) {
+  protocol::message value;
+  value.sender = self;
+  value.held = held();
+  if (!std::holds_alternative<protocol::config_push>(body)) {
+    value.updates = rumors.take(updates_per_message, members.size());
+  }
+  value.body = std::move(body);
+  ++totals.messages_sent;
+  act(send_message{to, std::move(value), via});
+}
+
+void context::write(severity level, std::string name,
+                    std::vector<std::pair<std::string, std::string>> fields) {
+  act(write_event{level, std::move(name), std::move(fields)});
+}
+
+bool context::learn(const member& update, bool pass_on) {
+  if (!members.merge(update, now)) {
+    return false;
+  }
+  if (pass_on) {
+    rumors.add(update);
+  }
+  return true;
+}
+
+void context::change_self(member_status status, incarnation life) {
+  self.status = status;
+  self.life = life;
+  learn(self);
+}
+
+const std::vector<member_id>& context::domain_peers() {
+  if (peers_generation_ != members.generation()) {
+    peers_generation_ = members.generation();
+    peers_ = members.present_in(settings.domain);
+    std::erase(peers_, self.id);
+  }
+  return peers_;
+}
+
+std::uint64_t context::duty_key(const std::string& duty, const std::string& domain) {
+  return hash_bytes(duty + "/" + domain);
+}
+
+std::vector<member_id> context::duty_holders(const std::string& duty, std::size_t count) {
+  std::vector<member_id> candidates = domain_peers();
+  if (!is_stopping) {
+    candidates.push_back(self.id);
+  }
+  return membership::highest_ranked(duty_key(duty, settings.domain), candidates, count);
+}
+
+std::vector<member_id> context::fleet_duty_holders(const std::string& duty, std::size_t count) {
+  return membership::highest_ranked(hash_bytes(duty), members.present(), count);
+}
+
+std::vector<member_id> context::random_domain_peers(std::size_t count) {
+  return random.sample(domain_peers(), count);
+}
+
+} // namespace arbutuslb::core::engine
--- /dev/null
+++ b/src/arbutuslb/core/engine/context.h
@@ -0,0 +1,104 @@
+// What the parts of one daemon share: who it is, what it knows, the time, and the actions so far.
+#pragma once
+
+#include "arbutuslb/core/base/random.h"
+#include "arbutuslb/core/config/configuration.h"
+#include "arbutuslb/core/engine/actions.h"
+#include "arbutuslb/core/membership/member_table.h"
+#include "arbutuslb/core/membership/rumor_queue.h"
+
+#include <set>
+
+namespace arbutuslb::core::engine {
+
+inline constexpr const char* config_stream = "config";
+inline constexpr const char* snapshot_stream = "snapshots";
+inline constexpr const char* announcement_stream = "announcements";
+
+// Peers that a new piece of knowledge is passed to at once.
+inline constexpr std::size_t push_fanout = 4;
+// Membership updates carried by one message.
+inline constexpr std::size_t updates_per_message = 5;
+
+struct core_settings {
+  std::string instance; // the instance's name
+  std::string domain;   // its failure domain
+  peer_address address;
+  std::string service; // of the upstream beside the daemon
+  std::string version; // of the upstream beside the daemon
+  std::vector<peer_address> seeds;
+  // How often the state is written to the log's snapshot stream at least.
+  duration snapshot_interval = std::chrono::minutes{10};
+};
+
+// Totals since the start of the process.
+struct statistics {
+  std::uint64_t calls_answered = 0;
+  std::uint64_t calls_not_run = 0;
+  std::uint64_t calls_unknown = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t runs = 0;         // requests given to the upstream
+  std::uint64_t runs_refused = 0; // requests refused beside the upstream
+  std::uint64_t upstream_deaths = 0;
+  std::uint64_t poison_refusals = 0;
+  std::uint64_t records_folded = 0;
+  std::uint64_t records_malformed = 0;
+  std::uint64_t state_mismatches = 0;
+  std::uint64_t log_reads = 0;
+  std::uint64_t log_appends = 0;
+  std::uint64_t snapshots_written = 0;
+  std::uint64_t pulls_served = 0;
+  std::uint64_t pulls_refused = 0;
+  std::uint64_t messages_sent = 0;
+};
+
+class context {
+public:
+  context(core_settings settings, std::uint64_t seed, time_point start);
+
+  // Sends to a known member; does nothing if it is unknown or this daemon itself.
+  void send(member_id to, protocol::message_body body, channel via);
+  void send_to(const peer_address& to, protocol::message_body body, channel via);
+  void act(action value) { actions.push_back(std::move(value)); }
+  void write(severity level, std::string name,
+             std::vector<std::pair<std::string, std::string>> fields = {});
+
+  // Merges an update; if it is news, passes it on unless told otherwise. Returns true if it was.
+  bool learn(const membership::member& update, bool pass_on = true);
+  // Gives the own member a new status or a higher life, and spreads it.
+  void change_self(membership::member_status status, incarnation life);
+
+  // The present members of the own domain without this daemon, in order of id. Cached.
+  const std::vector<member_id>& domain_peers();
+  // The hash under which the members of a domain are ranked for a duty.
+  static std::uint64_t duty_key(const std::string& duty, const std::string& domain);
+  // The own domain's members with the highest weights for the duty, this daemon included.
+  std::vector<member_id> duty_holders(const std::string& duty, std::size_t count);
+  // The same over the members of all domains.
+  std::vector<member_id> fleet_duty_holders(const std::string& duty, std::size_t count);
+  std::vector<member_id> random_domain_peers(std::size_t count);
+
+  std::uint64_t next_number() { return ++last_number_; }
+  protocol::digest held() const;
+
+  const core_settings settings;
+  membership::member self;
+  membership::member_table members;
+  membership::rumor_queue rumors;
+  config::configuration configuration;
+  random_source random;
+  time_point now;
+  time_point log_confirmed_at; // when the own version was last known to be the log's end
+  std::vector<action> actions;
+  statistics totals;
+  bool is_stopping = false;
+  // Reads of the log are wanted at once, whoever has the duty.
+  bool wants_log_read = false;
+
+private:
+  std::uint64_t last_number_ = 0;
+  std::uint64_t peers_generation_ = 0;
+  std::vector<member_id> peers_;
+};
+
+} // namespace arbutuslb::core::engine
--- /dev/null
+++ b/src/arbutuslb/core/engine/membership_service.cc
@@ -0,0 +1,325 @@
+#include "arbutuslb/core/engine/membership_service.h"
+
+#include "arbutuslb/core/base/object_reader.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace arbutuslb::core::engine {
+
+using membership::direct_probe;
+using membership::indirect_probe;
+using membership::member;
+using membership::member_status;
+using membership::probe_step;
+using membership::status_change;
+
+std::string serialize_announcement(const member& value) {
+  const json out = {{"name", value.name},
+                    {"host", value.address.host},
+                    {"datagram_port", value.address.datagram_port},
+                    {"stream_port", value.address.stream_port},
+                    {"domain", value.domain},
+                    {"life", value.life.value}};
+  return out.dump();
+}
+
+member parse_announcement(std::string_view bytes) {
+  const json document = parse_json_with_comments(bytes);
+  finding_list findings;
+  object_reader reader(document, "", findings);
+  member value;
+  value.name = reader.required_string("name");
+  value.address.host = reader.required_string("host");
+  value.address.datagram_port =
+      static_cast<std::uint16_t>(reader.required_integer("datagram_port", 1, 65535));
+  value.address.stream_port =
+      static_cast<std::uint16_t>(reader.required_integer("stream_port", 1, 65535));
+  value.domain = reader.required_string("domain");
+  value.life.value = static_cast<std::uint64_t>(
+      reader.required_integer("life", 0, std::numeric_limits<std::int64_t>::max()));
+  reader.finish();
+  findings.throw_if_any();
+  return value;
+}
+
+membership_service::membership_service(context& shared)
+    : shared_(shared), detector_(shared.self.id) {
+  next_join_ = shared_.now + shared_.random.jitter(first_join_jitter);
+  next_summary_ = shared_.now + shared_.random.jitter(summary_period);
+  next_announcement_ = shared_.now + shared_.random.jitter(summary_period);
+}
+
+void membership_service::on_tick() {
+  join_if_alone();
+  run_probes();
+  exchange_summaries();
+  compare_if_different();
+  announce();
+  if (shared_.now >= next_forget_) {
+    next_forget_ = shared_.now + std::chrono::minutes{1};
+    shared_.members.forget_dead(shared_.now);
+  }
+}
+
+void membership_service::on_message(const protocol::message& value) {
+  last_heard_[value.sender.domain] = shared_.now;
+  shared_.learn(value.sender);
+  for (const member& update : value.updates) {
+    shared_.learn(update);
+  }
+  refute_if_accused();
+  if (value.held.fleet_hash != shared_.members.fleet_hash()) {
+    differing_peer_ = value.sender.address;
+  }
+}
+
+// Somebody holds this daemon to be suspect or dead, or remembers a higher life of it.
+void membership_service::refute_if_accused() {
+  const member* known = shared_.members.find(shared_.self.id);
+  if (known->life == shared_.self.life && known->status == shared_.self.status &&
+      known->address == shared_.self.address) {
+    return;
+  }
+  if (known->life < shared_.self.life) {
+    return;
+  }
+  shared_.change_self(shared_.self.status, incarnation{known->life.value + 1});
+}
+
+// --- joining ---
+
+void membership_service::join_if_alone() {
+  if (shared_.now < next_join_ || !shared_.domain_peers().empty()) {
+    return;
+  }
+  join_backoff_ = std::min<duration>(join_backoff_ * 2, max_join_backoff);
+  next_join_ = shared_.now + join_backoff_ / 2 + shared_.random.jitter(join_backoff_);
+  std::vector<peer_address> targets = shared_.settings.seeds;
+  targets.insert(targets.end(), announced_.begin(), announced_.end());
+  std::erase(targets, shared_.self.address);
+  for (const peer_address& target : shared_.random.sample(targets, push_fanout)) {
+    shared_.send_to(target, protocol::membership_request{}, channel::stream);
+  }
+  read_announcements();
+}
+
+void membership_service::read_announcements() {
+  announcement_read_ = shared_.next_number();
+  ++shared_.totals.log_reads;
+  shared_.act(read_log{announcement_read_, announcement_stream, 0, duration{}});
+}
+
+void membership_service::on_log_read(const log_read& result) {
+  if (result.request != announcement_read_ || result.failed) {
+    return;
+  }
+  announcement_read_ = 0;
+  announced_.clear();
+  for (const std::string& record : result.records) {
+    try {
+      announced_.push_back(parse_announcement(record).address);
+    } catch (const findings_error& error) {
+      shared_.write(severity::warning, "announcement_malformed", {{"findings", error.what()}});
+    }
+  }
+  if (announced_.size() > max_announcements) {
+    announced_.erase(announced_.begin(), announced_.end() - max_announcements);
+  }
+}
+
+// The daemon tells the log its address at its start, for those who find no peer; a few repeat it.
+void membership_service::announce() {
+  if (shared_.now < next_announcement_ || shared_.is_stopping) {
+    return;
+  }
+  const bool is_first =
+      next_announcement_ - shared_.now < announcement_interval && shared_.totals.log_appends == 0;
+  next_announcement_ = shared_.now + announcement_interval;
+  const std::vector<member_id> holders = shared_.duty_holders("announce", speakers_per_domain);
+  const bool has_duty = std::find(holders.begin(), holders.end(), shared_.self.id) != holders.end();
+  if (!is_first && !has_duty) {
+    return;
+  }
+  ++shared_.totals.log_appends;
+  shared_.act(
+      append_log{shared_.next_number(), announcement_stream, serialize_announcement(shared_.self)});
+}
+
+void membership_service::handle(const protocol::message& from,
+                                const protocol::membership_request&) {
+  for (const std::string& domain : shared_.members.domains()) {
+    std::vector<member> entries;
+    for (const member_id id : shared_.members.present_in(domain)) {
+      entries.push_back(*shared_.members.find(id));
+    }
+    send_entries(from.sender.address, domain, entries, std::nullopt);
+  }
+}
+
+// --- probing ---
+
+void membership_service::run_probes() {
+  const std::vector<member_id> peers = shared_.domain_peers();
+  for (const probe_step& step :
+       detector_.advance(shared_.members, peers, shared_.now, shared_.random)) {
+    if (const direct_probe* direct = std::get_if<direct_probe>(&step)) {
+      shared_.send(direct->target, protocol::ping{direct->sequence, {}}, channel::datagram);
+    } else if (const indirect_probe* indirect = std::get_if<indirect_probe>(&step)) {
+      shared_.send(indirect->helper, protocol::ping_request{indirect->sequence, indirect->target},
+                   channel::datagram);
+    } else if (const status_change* change = std::get_if<status_change>(&step)) {
+      member changed = *shared_.members.find(change->target);
+      changed.status = change->status;
+      shared_.learn(changed);
+      shared_.write(severity::warning, "member_status",
+                    {{"member", changed.name}, {"status", membership::to_string(changed.status)}});
+    }
+  }
+}
+
+void membership_service::handle(const protocol::message& from, const protocol::ping& value) {
+  shared_.send_to(from.sender.address, protocol::ack{value.sequence, value.requester},
+                  channel::datagram);
+}
+
+void membership_service::handle(const protocol::message& from,
+                                const protocol::ping_request& value) {
+  shared_.send(value.target, protocol::ping{value.sequence, from.sender.id}, channel::datagram);
+}
+
+void membership_service::handle(const protocol::message&, const protocol::ack& value) {
+  if (value.requester == member_id{} || value.requester == shared_.self.id) {
+    detector_.on_ack(value.sequence);
+  } else {
+    shared_.send(value.requester, protocol::ack{value.sequence, value.requester},
+                 channel::datagram);
+  }
+}
+
+// --- comparing ---
+
+protocol::domain_summary membership_service::summary_of_domains() const {
+  protocol::domain_summary summary;
+  for (const std::string& domain : shared_.members.domains()) {
+    summary.domains.push_back({domain, shared_.members.domain_hash(domain)});
+  }
+  return summary;
+}
+
+void membership_service::exchange_summaries() {
+  if (shared_.now < next_summary_) {
+    return;
+  }
+  next_summary_ = shared_.now + summary_period;
+  const std::vector<member_id> speakers = shared_.duty_holders("speaker", speakers_per_domain);
+  if (std::find(speakers.begin(), speakers.end(), shared_.self.id) == speakers.end()) {
+    return;
+  }
+  const protocol::domain_summary summary = summary_of_domains();
+  for (const std::string& domain : shared_.members.domains()) {
+    const std::vector<member_id> present = shared_.members.present_in(domain);
+    if (domain != shared_.settings.domain && !present.empty()) {
+      shared_.send(present[shared_.random.below(present.size())], summary, channel::datagram);
+    }
+  }
+}
+
+void membership_service::handle(const protocol::message& from,
+                                const protocol::domain_summary& value) {
+  const auto is_named = [&value](const std::string& domain) {
+    const auto has_name = [&domain](const protocol::domain_summary::item& item) {
+      return item.domain == domain;
+    };
+    return std::any_of(value.domains.begin(), value.domains.end(), has_name);
+  };
+  for (const protocol::domain_summary::item& item : value.domains) {
+    if (item.hash != shared_.members.domain_hash(item.domain)) {
+      compare_with(from.sender.address, item.domain);
+    }
+  }
+  for (const std::string& domain : shared_.members.domains()) {
+    if (!is_named(domain)) {
+      compare_with(from.sender.address, domain);
+    }
+  }
+}
+
+void membership_service::compare_if_different() {
+  if (!differing_peer_ || shared_.now < next_compare_) {
+    return;
+  }
+  next_compare_ = shared_.now + compare_period / 2 + shared_.random.jitter(compare_period);
+  shared_.send_to(*differing_peer_, summary_of_domains(), channel::datagram);
+  differing_peer_.reset();
+}
+
+void membership_service::compare_with(const peer_address& to, const std::string& domain) {
+  shared_.send_to(to, protocol::membership_compare{domain, shared_.members.hashes_of(domain)},
+                  channel::stream);
+}
+
+void membership_service::handle(const protocol::message& from,
+                                const protocol::membership_compare& value) {
+  send_entries(from.sender.address, value.domain,
+               shared_.members.differing(value.domain, value.buckets),
+               shared_.members.hashes_of(value.domain));
+}
+
+void membership_service::handle(const protocol::message& from,
+                                const protocol::membership_entries& value) {
+  const std::vector<member> theirs_lacks =
+      value.wants_reply ? shared_.members.differing(value.domain, value.buckets)
+                        : std::vector<member>{};
+  // Large differences spread by comparing, not as single updates.
+  const bool pass_on = value.entries.size() <= max_passed_on_entries;
+  for (const member& entry : value.entries) {
+    shared_.learn(entry, pass_on);
+  }
+  refute_if_accused();
+  if (!theirs_lacks.empty()) {
+    send_entries(from.sender.address, value.domain, theirs_lacks, std::nullopt);
+  }
+}
+
+void membership_service::send_entries(const peer_address& to, const std::string& domain,
+                                      const std::vector<member>& entries,
+                                      std::optional<membership::bucket_hashes> reply_to) {
+  std::size_t sent = 0;
+  do {
+    const std::size_t count = std::min(entries_per_message, entries.size() - sent);
+    protocol::membership_entries part;
+    part.domain = domain;
+    part.entries.assign(entries.begin() + static_cast<std::ptrdiff_t>(sent),
+                        entries.begin() + static_cast<std::ptrdiff_t>(sent + count));
+    sent += count;
+    if (reply_to && sent == entries.size()) {
+      part.wants_reply = true;
+      part.buckets = *reply_to;
+    }
+    shared_.send_to(to, std::move(part), channel::stream);
+  } while (sent < entries.size());
+}
+
+// --- leaving ---
+
+void membership_service::leave() {
+  shared_.change_self(member_status::leaving, shared_.self.life);
+  for (const member_id id : shared_.random_domain_peers(leave_fanout)) {
+    shared_.send(id, protocol::ping{0, {}}, channel::datagram);
+  }
+  const std::vector<member_id> present = shared_.members.present();
+  for (const member_id id : shared_.random.sample(present, leave_fanout)) {
+    shared_.send(id, protocol::ping{0, {}}, channel::datagram);
+  }
+}
+
+std::optional<time_point> membership_service::last_heard(const std::string& domain) const {
+  const std::map<std::string, time_point>::const_iterator found = last_heard_.find(domain);
+  if (found == last_heard_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+} // namespace arbutuslb::core::engine
--- /dev/null
+++ b/src/arbutuslb/core/engine/operator_service.cc
@@ -0,0 +1,526 @@
+#include "arbutuslb/core/engine/operator_service.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace arbutuslb::core::engine {
+namespace {
+
+using operators::exit_code;
+using operators::report;
+
+struct statement_kind {
+  template <typename Kind>
+  static const Kind* of(const operators::statement& value) {
+    return std::get_if<Kind>(&value);
+  }
+};
+
+report wrong_input(const std::vector<finding>& findings) {
+  report value;
+  value.code = exit_code::wrong_input;
+  value.result = "nothing-done";
+  value.findings = findings;
+  return value;
+}
+
+std::string seconds_text(duration value) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::seconds>(value).count()) + "s";
+}
+
+} // namespace
+
+operator_service::operator_service(context& shared, distributor& distribution,
+                                   membership_service& membership, command_writer& writer,
+                                   move_conductor& conductor)
+    : shared_(shared), distribution_(distribution), membership_(membership), writer_(writer),
+      conductor_(conductor) {}
+
+void operator_service::answer(std::uint64_t token, report value) {
+  const int code = static_cast<int>(value.code);
+  shared_.act(answer_operator{token, code, operators::to_json_text(value)});
+}
+
+void operator_service::on_asked(const operator_asked& asked) {
+  try {
+    dispatch(asked, operators::parse_statement(asked.text, shared_.now));
+  } catch (const findings_error& error) {
+    answer(asked.token, wrong_input(error.findings()));
+  }
+}
+
+void operator_service::dispatch(const operator_asked& asked, const operators::statement& parsed) {
+  if (const operators::show_query* query = statement_kind::of<operators::show_query>(parsed)) {
+    show(asked.token, *query);
+  } else if (statement_kind::of<operators::in_force_query>(parsed) != nullptr) {
+    start_survey(asked.token, shared_.configuration.version(), status_patience, false);
+  } else if (statement_kind::of<operators::publish_request>(parsed) != nullptr) {
+    command(asked, config::parse_publish_document(asked.document));
+  } else if (const operators::command_request* given =
+                 statement_kind::of<operators::command_request>(parsed)) {
+    command(asked, given->body);
+  } else if (const operators::wait_request* wait =
+                 statement_kind::of<operators::wait_request>(parsed)) {
+    start_survey(asked.token, wait->version, wait->within, true);
+  } else if (const operators::explain_request* request =
+                 statement_kind::of<operators::explain_request>(parsed)) {
+    explain(asked.token, request->service);
+  } else {
+    report value;
+    value.result = "help";
+    value.details.columns = {"command", "meaning"};
+    for (const operators::verb_form& form : operators::verb_forms()) {
+      value.details.rows.push_back({std::string(form.pattern), std::string(form.help)});
+    }
+    answer(asked.token, value);
+  }
+}
+
+// --- queries ---
+
+void operator_service::show(std::uint64_t token, const operators::show_query& query) {
+  report value;
+  switch (query.subject) {
+  case operators::show_subject::services:
+    value = show_services();
+    break;
+  case operators::show_subject::routes:
+    value = show_routes();
+    break;
+  case operators::show_subject::versions:
+    value = show_versions();
+    break;
+  case operators::show_subject::moves:
+    value = show_moves();
+    break;
+  case operators::show_subject::domains:
+    value = show_domains();
+    break;
+  case operators::show_subject::members:
+    value = show_members();
+    break;
+  case operators::show_subject::command:
+    value = show_command(query.name);
+    break;
+  }
+  value.facts.emplace_back("version", std::to_string(shared_.configuration.version()));
+  answer(token, value);
+}
+
+report operator_service::show_services() const {
+  report value;
+  value.result = "services";
+  value.details.columns = {"service", "active", "versions", "slots", "changed", "by"};
+  for (const auto& [name, item] : shared_.configuration.services()) {
+    std::string versions;
+    for (const std::string& version : item.versions) {
+      versions += (versions.empty() ? "" : ",") + version;
+    }
+    value.details.rows.push_back({name, item.active, versions, std::to_string(item.slots),
+                                  std::to_string(item.changed.version),
+                                  item.changed.operator_name});
+  }
+  return value;
+}
+
+report operator_service::show_routes() const {
+  report value;
+  value.result = "routes";
+  value.details.columns = {"route", "path", "service", "idempotent", "class", "changed"};
+  for (const auto& [name, item] : shared_.configuration.routes()) {
+    value.details.rows.push_back({name, item.path_prefix, item.service,
+                                  item.idempotent ? "yes" : "no", config::to_string(item.priority),
+                                  std::to_string(item.changed.version)});
+  }
+  return value;
+}
+
+report operator_service::show_versions() const {
+  report value;
+  value.result = "versions";
+  value.details.columns = {"service", "version", "state", "upstreams"};
+  for (const auto& [name, item] : shared_.configuration.services()) {
+    const config::move* running = shared_.configuration.running_move(name);
+    for (const std::string& version : item.versions) {
+      std::size_t upstreams = 0;
+      for (const member_id id : shared_.members.upstreams_of(name)) {
+        upstreams += shared_.members.find(id)->version == version ? 1 : 0;
+      }
+      const bool is_new = running != nullptr && running->to == version;
+      const std::string state = version == item.active ? "active" : is_new ? "on-trial" : "idle";
+      value.details.rows.push_back({name, version, state, std::to_string(upstreams)});
+    }
+  }
+  return value;
+}
+
+report operator_service::show_moves() const {
+  report value;
+  value.result = "moves";
+  value.details.columns = {"move", "service", "from", "to", "by", "state", "share", "reason"};
+  for (const auto& [name, item] : shared_.configuration.moves()) {
+    const bool is_running = item.state == config::move_state::running;
+    value.details.rows.push_back({std::to_string(item.id), name, item.from, item.to,
+                                  operators::format_time(item.by), config::to_string(item.state),
+                                  std::to_string(item.share_permille) + "/1000",
+                                  is_running ? conductor_.explain(item.id) : item.reason});
+  }
+  return value;
+}
+
+std::string operator_service::domain_age(const std::string& domain) const {
+  if (domain == shared_.settings.domain) {
+    return "here";
+  }
+  const std::optional<time_point> heard = membership_.last_heard(domain);
+  return heard ? seconds_text(shared_.now - *heard) + " ago" : "never";
+}
+
+report operator_service::show_domains() const {
+  report value;
+  value.result = "domains";
+  value.details.columns = {"domain", "region", "state", "daemons", "heard"};
+  for (const auto& [name, item] : shared_.configuration.domains()) {
+    value.details.rows.push_back({name, item.region, item.withdrawn ? "withdrawn" : "in-use",
+                                  std::to_string(shared_.members.present_in(name).size()),
+                                  domain_age(name)});
+  }
+  return value;
+}
+
+report operator_service::show_members() const {
+  report value;
+  value.result = "members";
+  value.details.columns = {"member", "domain", "service", "version", "status", "address"};
+  for (const member_id id : shared_.members.present()) {
+    const membership::member& item = *shared_.members.find(id);
+    value.details.rows.push_back(
+        {item.name, item.domain, item.service, item.version, membership::to_string(item.status),
+         item.address.host + ":" + std::to_string(item.address.stream_port)});
+  }
+  std::sort(value.details.rows.begin(), value.details.rows.end());
+  return value;
+}
+
+report operator_service::show_command(const std::string& id) const {
+  report value;
+  const std::optional<config::command_outcome> outcome = shared_.configuration.outcome_of(id);
+  if (!outcome) {
+    value.code = exit_code::unknown;
+    value.result = "not-seen";
+    value.notes.push_back("no command with this id is among the latest of this version");
+    return value;
+  }
+  value.result = outcome->accepted ? "accepted" : "refused";
+  value.facts.emplace_back("at", std::to_string(outcome->version));
+  if (!outcome->text.empty()) {
+    value.findings.push_back({"", outcome->text});
+  }
+  return value;
+}
+
+// --- commands ---
+
+void operator_service::command(const operator_asked& asked, config::command body) {
+  config::record value;
+  value.command_id = asked.command_id;
+  if (value.command_id.empty()) {
+    value.command_id = "c-" + std::to_string(shared_.random.bits());
+  }
+  const std::optional<config::command_outcome> known =
+      shared_.configuration.outcome_of(value.command_id);
+  if (!known) {
+    const std::vector<finding> findings = shared_.configuration.check(body);
+    if (!findings.empty()) {
+      report refusal = wrong_input(findings);
+      refusal.code = exit_code::refused;
+      refusal.result = "refused";
+      answer(asked.token, refusal);
+      return;
+    }
+  }
+  value.operator_name = asked.operator_name.empty() ? "unnamed" : asked.operator_name;
+  value.issued = shared_.now;
+  for (const std::string& key : config::touched_objects(body)) {
+    value.against[key] = shared_.configuration.object_version(key);
+  }
+  commands_[value.command_id].push_back({asked.token, notes_on(body)});
+  value.body = std::move(body);
+  writer_.submit(value, shared_.now + command_patience);
+}
+
+// What the rest can bear when a failure domain is withdrawn.
+std::vector<std::string> operator_service::notes_on(const config::command& body) const {
+  std::vector<std::string> notes;
+  const config::withdraw_command* withdrawn = std::get_if<config::withdraw_command>(&body);
+  if (withdrawn == nullptr) {
+    return notes;
+  }
+  for (const auto& [name, item] : shared_.configuration.services()) {
+    int all = 0;
+    int kept = 0;
+    for (const member_id id : shared_.members.upstreams_of(name)) {
+      const membership::member& value = *shared_.members.find(id);
+      const config::failure_domain* domain = shared_.configuration.find_domain(value.domain);
+      const bool usable = value.version == item.active && (domain == nullptr || !domain->withdrawn);
+      all += usable ? item.slots : 0;
+      kept += usable && value.domain != withdrawn->domain ? item.slots : 0;
+    }
+    if (kept < all) {
+      notes.push_back(name + ": " + std::to_string(kept) + " of " + std::to_string(all) +
+                      " warm slots remain" + (kept == 0 ? "; its calls will be refused" : ""));
+    }
+  }
+  return notes;
+}
+
+void operator_service::on_settled(const settled_command& settled) {
+  const std::map<std::string, std::vector<pending_command>>::iterator found =
+      commands_.find(settled.command_id);
+  if (found == commands_.end()) {
+    return;
+  }
+  report value;
+  value.facts.emplace_back("command", settled.command_id);
+  switch (settled.how) {
+  case settled_as::accepted:
+    value.result = "accepted";
+    value.facts.emplace_back("version", std::to_string(settled.outcome.version));
+    break;
+  case settled_as::refused:
+    value.code = exit_code::refused;
+    value.result = "refused";
+    value.facts.emplace_back("version", std::to_string(settled.outcome.version));
+    value.findings.push_back({"", settled.outcome.text});
+    break;
+  case settled_as::not_appended:
+    value.code = exit_code::not_accepted;
+    value.result = "not-accepted";
+    value.notes.push_back("the log took no record; nothing was done");
+    break;
+  case settled_as::unknown:
+    value.code = exit_code::unknown;
+    value.result = "unknown";
+    value.notes.push_back("the command may yet take effect; ask: show command " +
+                          settled.command_id);
+    break;
+  }
+  for (const pending_command& pending : found->second) {
+    report each = value;
+    each.notes.insert(each.notes.end(), pending.notes.begin(), pending.notes.end());
+    answer(pending.token, each);
+  }
+  commands_.erase(found);
+}
+
+// --- what is in force where ---
+
+void operator_service::start_survey(std::uint64_t token, config_version version, duration patience,
+                                    bool wait) {
+  survey value;
+  value.token = token;
+  value.version = version;
+  value.deadline = shared_.now + patience;
+  value.next_query = shared_.now;
+  value.ends_when_complete = wait;
+  surveys_.emplace(shared_.next_number(), std::move(value));
+  on_tick();
+}
+
+protocol::status_reply operator_service::own_status(config_version version) {
+  protocol::status_reply reply;
+  reply.domain = shared_.settings.domain;
+  reply.lowest_version = shared_.configuration.version();
+  for (const member_id id : shared_.members.present_in(shared_.settings.domain)) {
+    const membership::member& value = *shared_.members.find(id);
+    const std::map<member_id, distributor::reported>::const_iterator report =
+        distribution_.reports().find(id);
+    const bool is_known =
+        report != distribution_.reports().end() && report->second.boot == value.boot;
+    const config_version held = id == shared_.self.id ? shared_.configuration.version()
+                                : is_known            ? report->second.version
+                                                      : 0;
+    ++reply.members;
+    reply.reached += held >= version ? 1 : 0;
+    reply.lowest_version = std::min(reply.lowest_version, held);
+    if (held < version && reply.laggards.size() < max_laggard_names) {
+      reply.laggards.push_back(value.name);
+    }
+  }
+  return reply;
+}
+
+void operator_service::on_status_query(const protocol::message& from,
+                                       const protocol::status_query& query) {
+  protocol::status_reply reply = own_status(query.version);
+  reply.token = query.token;
+  shared_.send_to(from.sender.address, reply, channel::datagram);
+}
+
+void operator_service::on_status_reply(const protocol::status_reply& reply) {
+  const std::map<std::uint64_t, survey>::iterator found = surveys_.find(reply.token);
+  if (found == surveys_.end()) {
+    return;
+  }
+  protocol::status_reply& known = found->second.replies[reply.domain];
+  if (known.domain.empty() || reply.reached >= known.reached) {
+    known = reply;
+  }
+}
+
+bool operator_service::is_complete(const survey& value) const {
+  for (const std::string& domain : shared_.members.domains()) {
+    const std::size_t present = shared_.members.present_in(domain).size();
+    const std::map<std::string, protocol::status_reply>::const_iterator reply =
+        value.replies.find(domain);
+    if (present > 0 &&
+        (reply == value.replies.end() || reply->second.reached < reply->second.members)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void operator_service::advance_survey(std::uint64_t number, survey& value,
+                                      std::vector<std::uint64_t>& ended) {
+  const bool is_done = value.ends_when_complete
+                           ? is_complete(value)
+                           : value.replies.size() >= shared_.members.domains().size();
+  if (is_done || shared_.now >= value.deadline) {
+    answer(value.token, report_of(value));
+    ended.push_back(number);
+    return;
+  }
+  if (shared_.now < value.next_query) {
+    return;
+  }
+  value.next_query = shared_.now + status_query_period;
+  for (const std::string& domain : shared_.members.domains()) {
+    const std::vector<member_id> reporters =
+        membership::highest_ranked(context::duty_key("reader", domain),
+                                   shared_.members.present_in(domain), readers_per_domain);
+    for (const member_id id : reporters) {
+      if (id == shared_.self.id) {
+        protocol::status_reply own = own_status(value.version);
+        own.token = number;
+        on_status_reply(own);
+      } else {
+        shared_.send(id, protocol::status_query{number, value.version}, channel::datagram);
+      }
+    }
+  }
+}
+
+report operator_service::report_of(const survey& value) const {
+  report result;
+  std::size_t members = 0;
+  std::size_t reached = 0;
+  bool all_heard = true;
+  result.details.columns = {"domain", "daemons", "in_force", "lowest", "lacking", "heard"};
+  for (const std::string& domain : shared_.members.domains()) {
+    const std::map<std::string, protocol::status_reply>::const_iterator found =
+        value.replies.find(domain);
+    const std::size_t present = shared_.members.present_in(domain).size();
+    if (found == value.replies.end()) {
+      all_heard = all_heard && present == 0;
+      members += present;
+      result.details.rows.push_back(
+          {domain, std::to_string(present), "not heard", "?", "?", domain_age(domain)});
+      continue;
+    }
+    const protocol::status_reply& reply = found->second;
+    members += reply.members;
+    reached += reply.reached;
+    std::string lacking;
+    for (const std::string& name : reply.laggards) {
+      lacking += (lacking.empty() ? "" : ",") + name;
+    }
+    result.details.rows.push_back({domain, std::to_string(reply.members),
+                                   std::to_string(reply.reached),
+                                   std::to_string(reply.lowest_version),
+                                   lacking.empty() ? "-" : lacking, domain_age(domain)});
+  }
+  const bool is_everywhere = all_heard && reached == members;
+  result.code = is_everywhere ? exit_code::ok : exit_code::refused;
+  result.result = is_everywhere ? "in-force" : "not-in-force-everywhere";
+  result.facts = {{"version", std::to_string(value.version)},
+                  {"daemons", std::to_string(members)},
+                  {"in_force", std::to_string(reached)}};
+  const duration age = shared_.now - shared_.log_confirmed_at;
+  result.facts.emplace_back(
+      "knowledge_age", shared_.log_confirmed_at == time_point{} ? "unknown" : seconds_text(age));
+  return result;
+}
+
+// --- explain ---
+
+report operator_service::report_of_move(const config::move& value, const std::string& text) const {
+  report result;
+  result.result = config::to_string(value.state);
+  result.facts = {{"move", std::to_string(value.id)},
+                  {"service", value.service},
+                  {"from", value.from},
+                  {"to", value.to},
+                  {"by", operators::format_time(value.by)},
+                  {"share", std::to_string(value.share_permille) + "/1000"}};
+  result.notes.push_back(text);
+  return result;
+}
+
+void operator_service::explain(std::uint64_t token, const std::string& service) {
+  const std::map<std::string, config::move>::const_iterator found =
+      shared_.configuration.moves().find(service);
+  if (found == shared_.configuration.moves().end()) {
+    report value = wrong_input({{"SERVICE", "no move of \"" + service + "\" is known"}});
+    answer(token, value);
+    return;
+  }
+  const config::move& value = found->second;
+  const std::vector<member_id> judges = conductor_.judges_of(value.id);
+  const bool is_judge = std::find(judges.begin(), judges.end(), shared_.self.id) != judges.end();
+  if (value.state != config::move_state::running || is_judge) {
+    answer(token, report_of_move(value, conductor_.explain(value.id)));
+    return;
+  }
+  const std::uint64_t number = shared_.next_number();
+  explains_.emplace(number, pending_explain{token, value.id, shared_.now + explain_patience});
+  for (const member_id id : judges) {
+    shared_.send(id, protocol::explain_query{number, value.id}, channel::datagram);
+  }
+}
+
+void operator_service::on_explain_reply(const protocol::explain_reply& reply) {
+  const std::map<std::uint64_t, pending_explain>::iterator found = explains_.find(reply.token);
+  if (found == explains_.end()) {
+    return;
+  }
+  const config::move* value = shared_.configuration.find_move(found->second.move_id);
+  if (value != nullptr) {
+    answer(found->second.token, report_of_move(*value, reply.text));
+  } else {
+    answer(found->second.token, wrong_input({{"SERVICE", "the move is gone"}}));
+  }
+  explains_.erase(found);
+}
+
+void operator_service::on_tick() {
+  std::vector<std::uint64_t> ended;
+  for (auto& [number, value] : surveys_) {
+    advance_survey(number, value, ended);
+  }
+  for (const std::uint64_t number : ended) {
+    surveys_.erase(number);
+  }
+  std::vector<std::uint64_t> unanswered;
+  for (const auto& [number, value] : explains_) {
+    if (shared_.now >= value.deadline) {
+      unanswered.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : unanswered) {
+    const config_version move_id = explains_.at(number).move_id;
+    on_explain_reply({number, conductor_.explain(move_id) + "; no judge answered"});
+  }
+}
+
+} // namespace arbutuslb::core::engine
--- /dev/null
+++ b/src/arbutuslb/core/engine/operator_service.h
@@ -0,0 +1,84 @@
+// Answers operators at this daemon: queries from what it knows, commands through the log.
+#pragma once
+
+#include "arbutuslb/core/engine/command_writer.h"
+#include "arbutuslb/core/engine/distributor.h"
+#include "arbutuslb/core/engine/membership_service.h"
+#include "arbutuslb/core/engine/move_conductor.h"
+#include "arbutuslb/core/operators/language.h"
+#include "arbutuslb/core/operators/report.h"
+
+namespace arbutuslb::core::engine {
+
+inline constexpr std::chrono::seconds command_patience{8};
+inline constexpr std::chrono::milliseconds status_query_period{200};
+inline constexpr std::chrono::milliseconds status_patience{1000};
+inline constexpr std::chrono::milliseconds explain_patience{600};
+// Names of daemons that lack a version, in one answer.
+inline constexpr std::size_t max_laggard_names = 16;
+
+// Not thread-safe.
+class operator_service {
+public:
+  operator_service(context& shared, distributor& distribution, membership_service& membership,
+                   command_writer& writer, move_conductor& conductor);
+
+  void on_asked(const operator_asked& asked);
+  void on_settled(const settled_command& settled);
+  void on_status_query(const protocol::message& from, const protocol::status_query& query);
+  void on_status_reply(const protocol::status_reply& reply);
+  void on_explain_reply(const protocol::explain_reply& reply);
+  void on_tick();
+
+private:
+  struct pending_command {
+    std::uint64_t token;
+    std::vector<std::string> notes;
+  };
+  // A question to all failure domains: who has applied the version?
+  struct survey {
+    std::uint64_t token = 0;
+    config_version version = 0;
+    time_point deadline;
+    time_point next_query;
+    bool ends_when_complete = true;
+    std::map<std::string, protocol::status_reply> replies; // by domain
+  };
+  struct pending_explain {
+    std::uint64_t token = 0;
+    config_version move_id = 0;
+    time_point deadline;
+  };
+
+  void dispatch(const operator_asked& asked, const operators::statement& parsed);
+  void show(std::uint64_t token, const operators::show_query& query);
+  operators::report show_services() const;
+  operators::report show_routes() const;
+  operators::report show_versions() const;
+  operators::report show_moves() const;
+  operators::report show_domains() const;
+  operators::report show_members() const;
+  operators::report show_command(const std::string& id) const;
+  void command(const operator_asked& asked, config::command body);
+  std::vector<std::string> notes_on(const config::command& body) const;
+  void start_survey(std::uint64_t token, config_version version, duration patience, bool wait);
+  void advance_survey(std::uint64_t number, survey& value, std::vector<std::uint64_t>& ended);
+  bool is_complete(const survey& value) const;
+  operators::report report_of(const survey& value) const;
+  protocol::status_reply own_status(config_version version);
+  void explain(std::uint64_t token, const std::string& service);
+  operators::report report_of_move(const config::move& value, const std::string& text) const;
+  void answer(std::uint64_t token, operators::report value);
+  std::string domain_age(const std::string& domain) const;
+
+  context& shared_;
+  distributor& distribution_;
+  membership_service& membership_;
+  command_writer& writer_;
+  move_conductor& conductor_;
+  std::map<std::string, std::vector<pending_command>> commands_; // by command id
+  std::map<std::uint64_t, survey> surveys_;
+  std::map<std::uint64_t, pending_explain> explains_;
+};
+
+} // namespace arbutuslb::core::engine
--- /dev/null
+++ b/src/arbutuslb/core/membership/member_table.h
@@ -0,0 +1,72 @@
+// The members of all failure domains, merged from updates that come in any order and repeatedly.
+//
+// Merging is commutative, associative and idempotent: two tables that have seen the same updates
+// are equal. Dead members are remembered for a while, so that an old message does not bring them
+// back.
+//
+//   member_table table;
+//   if (table.merge(update, now)) { /* spread it further */ }
+#pragma once
+
+#include "arbutuslb/core/base/time.h"
+#include "arbutuslb/core/membership/member.h"
+
+#include <array>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutuslb::core::membership {
+
+inline constexpr std::size_t bucket_count = 32;
+using bucket_hashes = std::array<std::uint64_t, bucket_count>;
+
+// Not thread-safe.
+class member_table {
+public:
+  // Returns true if the table changed.
+  bool merge(const member& update, time_point now);
+
+  const member* find(member_id id) const;
+
+  // Returns the ids of the domain's members that are alive, suspect or leaving, in order of id.
+  std::vector<member_id> present_in(const std::string& domain) const;
+  std::vector<member_id> present() const;
+  std::vector<std::string> domains() const;
+  // Returns the present members beside an upstream of the service, in order of id.
+  std::vector<member_id> upstreams_of(const std::string& service) const;
+
+  // A hash of the domain's present members; equal tables have equal hashes. O(1).
+  std::uint64_t domain_hash(const std::string& domain) const;
+  // The same over all domains.
+  std::uint64_t fleet_hash() const noexcept { return fleet_hash_; }
+  bucket_hashes hashes_of(const std::string& domain) const;
+  // Returns the members of the domain, dead ones included, whose buckets differ from `theirs`.
+  std::vector<member> differing(const std::string& domain, const bucket_hashes& theirs) const;
+
+  // Forgets members that died before `now` less the time for which the dead are remembered.
+  void forget_dead(time_point now);
+
+  // Rises with each change.
+  std::uint64_t generation() const noexcept { return generation_; }
+  std::size_t size() const noexcept { return entries_.size(); }
+
+private:
+  struct entry {
+    member value;
+    time_point changed;
+  };
+  void toggle_hash(const member& value);
+
+  std::map<member_id, entry> entries_;
+  std::unordered_map<std::string, bucket_hashes> hashes_;
+  std::uint64_t fleet_hash_ = 0;
+  std::uint64_t generation_ = 0;
+};
+
+// Returns the `count` candidates with the highest weights for `key`, highest first.
+// O(candidates * log count).
+std::vector<member_id> highest_ranked(std::uint64_t key, const std::vector<member_id>& candidates,
+                                      std::size_t count);
+
+} // namespace arbutuslb::core::membership
--- /dev/null
+++ b/src/arbutuslb/core/moves/evidence.cc
@@ -0,0 +1,126 @@
+#include "arbutuslb/core/moves/evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutuslb::core::moves {
+
+using protocol::evidence_cell;
+using protocol::evidence_report;
+
+std::size_t latency_bucket(duration latency) {
+  constexpr double first_bucket_us = 250.0;
+  const double ratio = static_cast<double>(latency.count()) / first_bucket_us;
+  if (ratio <= 1.0) {
+    return 0;
+  }
+  const double index = std::log2(ratio) * 2.0;
+  return std::min(evidence_cell::bucket_count - 1, static_cast<std::size_t>(index) + 1);
+}
+
+void cell_totals::add(const evidence_cell& cell) {
+  calls += cell.calls;
+  errors += cell.errors;
+  deaths += cell.deaths;
+  for (std::size_t i = 0; i < latency.size(); ++i) {
+    latency[i] += cell.latency[i];
+  }
+}
+
+void cell_totals::subtract(const cell_totals& earlier) {
+  calls -= std::min(calls, earlier.calls);
+  errors -= std::min(errors, earlier.errors);
+  deaths -= std::min(deaths, earlier.deaths);
+  for (std::size_t i = 0; i < latency.size(); ++i) {
+    latency[i] -= std::min(latency[i], earlier.latency[i]);
+  }
+}
+
+void evidence_counter::note(const std::string& route, int share_permille, run_outcome outcome,
+                            duration latency) {
+  const auto is_same = [&](const evidence_cell& cell) {
+    return cell.route == route && cell.share_permille == share_permille;
+  };
+  std::vector<evidence_cell>::iterator cell = std::find_if(cells_.begin(), cells_.end(), is_same);
+  if (cell == cells_.end()) {
+    evidence_cell fresh;
+    fresh.route = route;
+    fresh.share_permille = share_permille;
+    cell = cells_.insert(cells_.end(), fresh);
+  }
+  if (outcome == run_outcome::death) {
+    ++cell->deaths;
+    return;
+  }
+  ++cell->calls;
+  cell->errors += outcome == run_outcome::error ? 1 : 0;
+  ++cell->latency[latency_bucket(latency)];
+}
+
+void evidence_pool::merge(member_id sender, incarnation boot, const evidence_report& report) {
+  reports_[source{sender, boot}] = report;
+}
+
+std::map<std::string, cell_totals> evidence_pool::totals(const std::string& version,
+                                                         int lowest_permille) const {
+  std::map<std::string, cell_totals> by_route;
+  for (const auto& [from, report] : reports_) {
+    if (report.version != version) {
+      continue;
+    }
+    for (const evidence_cell& cell : report.cells) {
+      if (cell.share_permille >= lowest_permille) {
+        by_route[cell.route].add(cell);
+      }
+    }
+  }
+  return by_route;
+}
+
+void evidence_pool::mark(time_point now) {
+  mark_point point{now, {}};
+  for (const auto& [from, report] : reports_) {
+    point.by_version.try_emplace(report.version);
+  }
+  for (auto& [version, by_route] : point.by_version) {
+    by_route = totals(version, 0);
+  }
+  marks_.push_back(std::move(point));
+  while (now - marks_.front().at > recent_window) {
+    marks_.pop_front();
+  }
+}
+
+std::map<std::string, cell_totals> evidence_pool::recent_totals(const std::string& version) const {
+  totals_by_route recent = totals(version, 0);
+  if (marks_.empty()) {
+    return recent;
+  }
+  const std::map<std::string, totals_by_route>& earlier = marks_.front().by_version;
+  const std::map<std::string, totals_by_route>::const_iterator known = earlier.find(version);
+  if (known == earlier.end()) {
+    return recent;
+  }
+  for (const auto& [route, cell] : known->second) {
+    recent[route].subtract(cell);
+  }
+  return recent;
+}
+
+version_capacity evidence_pool::capacity_of(const std::string& version) const {
+  std::map<member_id, const evidence_report*> latest;
+  for (const auto& [from, report] : reports_) {
+    if (report.version == version) {
+      latest[from.sender] = &report; // sources are in order of boot
+    }
+  }
+  version_capacity total;
+  for (const auto& [sender, report] : latest) {
+    total.limit += report->limit;
+    total.mean_in_flight += report->mean_in_flight;
+    ++total.upstreams;
+  }
+  return total;
+}
+
+} // namespace arbutuslb::core::moves
--- /dev/null
+++ b/src/arbutuslb/core/routing/endpoint_directory.cc
@@ -0,0 +1,150 @@
+#include "arbutuslb/core/routing/endpoint_directory.h"
+
+#include "arbutuslb/core/base/hash.h"
+
+#include <algorithm>
+#include <map>
+
+namespace arbutuslb::core::routing {
+namespace {
+
+using membership::member;
+using membership::member_status;
+using membership::member_table;
+
+bool is_candidate(const member& value, const choice_request& request,
+                  const config::configuration& configuration) {
+  const config::failure_domain* domain = configuration.find_domain(value.domain);
+  const bool withdrawn = domain != nullptr && domain->withdrawn;
+  return !withdrawn && value.version == request.version && value.status != member_status::leaving;
+}
+
+// Leaves suspects out unless nobody else is there.
+std::vector<member_id> prefer_alive(const std::vector<const member*>& members) {
+  std::vector<member_id> alive;
+  std::vector<member_id> all;
+  for (const member* item : members) {
+    all.push_back(item->id);
+    if (item->status == member_status::alive) {
+      alive.push_back(item->id);
+    }
+  }
+  return alive.empty() ? all : alive;
+}
+
+} // namespace
+
+endpoint_stats& endpoint_directory::stats_of(member_id id, incarnation boot) {
+  std::unique_ptr<known_endpoint>& known = known_[id];
+  if (!known) {
+    known = std::make_unique<known_endpoint>();
+  }
+  if (known->boot != boot) {
+    *known = known_endpoint{boot, {}};
+  }
+  return known->stats;
+}
+
+std::vector<endpoint_view> endpoint_directory::views_of(const std::vector<member_id>& ids,
+                                                        const member_table& table) {
+  std::vector<endpoint_view> views;
+  for (const member_id id : ids) {
+    views.push_back({id, &stats_of(id, table.find(id)->boot)});
+  }
+  return views;
+}
+
+endpoint_directory::subset endpoint_directory::build(const choice_request& request,
+                                                     const member_table& table,
+                                                     const config::configuration& configuration) {
+  std::map<std::string, std::vector<const member*>> by_domain;
+  for (const member_id id : table.upstreams_of(request.service)) {
+    const member* value = table.find(id);
+    if (is_candidate(*value, request, configuration)) {
+      by_domain[value->domain].push_back(value);
+    }
+  }
+  const std::size_t remote_domains = by_domain.size() - by_domain.count(own_domain_);
+  const std::size_t share =
+      remote_domains == 0 ? 0 : std::max<std::size_t>(1, remote_subset_size / remote_domains);
+  subset result;
+  for (const auto& [domain, members] : by_domain) {
+    const bool is_local = domain == own_domain_;
+    const std::vector<member_id> chosen = membership::highest_ranked(
+        self_.value, prefer_alive(members), is_local ? local_subset_size : share);
+    std::vector<endpoint_view>& target = is_local ? result.local : result.remote;
+    for (const endpoint_view& view : views_of(chosen, table)) {
+      target.push_back(view);
+    }
+  }
+  return result;
+}
+
+const endpoint_directory::subset&
+endpoint_directory::subset_for(const choice_request& request, const member_table& table,
+                               const config::configuration& configuration) {
+  if (generation_ != table.generation() || version_ != configuration.version()) {
+    generation_ = table.generation();
+    version_ = configuration.version();
+    subsets_.clear();
+    const auto is_gone = [&table](const auto& item) {
+      const member* found = table.find(item.first);
+      return found == nullptr || found->status == member_status::dead;
+    };
+    std::erase_if(known_, is_gone);
+  }
+  const std::string key = request.service + "@" + request.version;
+  const std::unordered_map<std::string, subset>::iterator found = subsets_.find(key);
+  if (found != subsets_.end()) {
+    return found->second;
+  }
+  return subsets_.emplace(key, build(request, table, configuration)).first->second;
+}
+
+std::vector<endpoint_view> endpoint_directory::usable(const std::vector<endpoint_view>& all,
+                                                      const choice_request& request,
+                                                      time_point now) const {
+  const auto is_excluded = [&request](const endpoint_view& view) {
+    return std::find(request.excluded.begin(), request.excluded.end(), view.id) !=
+           request.excluded.end();
+  };
+  const auto is_ejected = [now](const endpoint_view& view) { return view.stats->is_ejected(now); };
+  // Ejecting more than half would overload the rest: then ejection is ignored.
+  const std::size_t ejected =
+      static_cast<std::size_t>(std::count_if(all.begin(), all.end(), is_ejected));
+  const bool obey_ejection = ejected * 2 <= all.size();
+  const bool obey_refusal = request.priority != config::request_class::critical;
+  std::vector<endpoint_view> result;
+  result.reserve(all.size());
+  for (const endpoint_view& view : all) {
+    const bool refusing = obey_refusal && view.stats->is_refusing(now);
+    if (!is_excluded(view) && !(obey_ejection && is_ejected(view)) && !refusing) {
+      result.push_back(view);
+    }
+  }
+  return result;
+}
+
+std::optional<member_id> endpoint_directory::choose(const choice_request& request,
+                                                    const member_table& table,
+                                                    const config::configuration& configuration,
+                                                    time_point now, random_source& random) {
+  const subset& endpoints = subset_for(request, table, configuration);
+  std::optional<member_id> fallback;
+  for (const std::vector<endpoint_view>* tier : {&endpoints.local, &endpoints.remote}) {
+    const std::vector<endpoint_view> candidates = usable(*tier, request, now);
+    if (candidates.empty()) {
+      continue;
+    }
+    const endpoint_view& chosen = candidates[policy_.choose(candidates, now, random)];
+    if (chosen.stats->has_spare(now)) {
+      return chosen.id;
+    }
+    if (!fallback) {
+      fallback = chosen.id;
+    }
+  }
+  return fallback;
+}
+
+} // namespace arbutuslb::core::routing
--- /dev/null
+++ b/src/arbutuslb/fakes/main.cc
@@ -0,0 +1,25 @@
+// The stand-ins' binary, not shipped: `arbutuslb_fakes log|upstream|load [--name value]...`.
+
+#include "arbutuslb/fakes/commands.h"
+
+#include <iostream>
+
+int main(int argc, char** argv) {
+  const std::string command = argc > 1 ? argv[1] : "";
+  try {
+    const arbutuslb::fakes::options given(argc - 2, argv + 2);
+    if (command == "log") {
+      return arbutuslb::fakes::run_log(given);
+    }
+    if (command == "upstream") {
+      return arbutuslb::fakes::run_upstream(given);
+    }
+    if (command == "load") {
+      return arbutuslb::fakes::run_load(given);
+    }
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+  }
+  std::cerr << "usage: arbutuslb_fakes log|upstream|load [--name value]...\n";
+  return 2;
+}
--- /dev/null
+++ b/src/arbutuslb/runtime/peer_transport.h
@@ -0,0 +1,42 @@
+// Carries messages between daemons: datagrams by UDP, the stream channel by ZeroMQ over TCP.
+//
+// Connections are opened when they are first needed and closed when they have been idle. A message
+// that does not fit a datagram takes the stream.
+#pragma once
+
+#include "arbutuslb/core/engine/actions.h"
+#include "arbutuslb/runtime/metrics.h"
+
+#include <functional>
+#include <memory>
+
+namespace asio {
+class io_context;
+}
+
+namespace arbutuslb::runtime {
+
+inline constexpr std::chrono::seconds idle_connection_time{20};
+inline constexpr int max_queued_messages = 1000;
+
+// Not thread-safe: used on the thread that runs the loop.
+class peer_transport {
+public:
+  using receiver = std::function<void(core::protocol::message)>;
+
+  // Binds both ports of `own`. Throws `std::system_error` or `zmq::error_t` if one is taken.
+  peer_transport(asio::io_context& loop, const core::peer_address& own, metrics& counters,
+                 receiver on_message);
+  ~peer_transport();
+
+  // Never blocks; a message that cannot be queued is dropped.
+  void send(const core::engine::send_message& action);
+  void receive_pending();
+  void close_idle(core::time_point now);
+
+private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+} // namespace arbutuslb::runtime
--- /dev/null
+++ b/tools/lib.sh
@@ -0,0 +1,96 @@
+# Shared by the scripts in this folder: packages, build, and the processes of a fleet on loopback.
+set -euo pipefail
+
+top=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+cd "$top"
+build_dir="$top/build"
+work_dir=""
+process_ids=()
+
+packages=(libasio-dev libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libboost-dev
+  libcpp-httplib-dev libgoogle-glog-dev libcriterion-dev nlohmann-json3-dev libxxhash-dev
+  pkg-config cmake ninja-build g++ curl)
+
+# Installs the packages that are missing.
+install_packages() {
+  local missing=()
+  local name
+  for name in "${packages[@]}" "$@"; do
+    dpkg -s "$name" >/dev/null 2>&1 || missing+=("$name")
+  done
+  if [ ${#missing[@]} -gt 0 ]; then
+    apt-get update -qq >&2
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}" >&2
+  fi
+}
+
+# build [DIRECTORY [CMAKE_OPTION...]]
+build() {
+  local dir=${1:-$build_dir}
+  shift || true
+  local launcher=()
+  command -v ccache >/dev/null && launcher=(-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
+  cmake -S "$top" -B "$dir" -G Ninja "${launcher[@]}" "$@" >/dev/null
+  ninja -C "$dir" >"$dir/build.log" || { tail -n 50 "$dir/build.log" >&2; return 1; }
+}
+
+# Starts a process in the background; its id is in `last_id`. start NAME COMMAND...
+start() {
+  local name=$1
+  shift
+  "$@" >"$work_dir/$name.out" 2>"$work_dir/$name.err" &
+  last_id=$!
+  process_ids+=("$last_id")
+}
+
+# Ends what this script started, by id.
+stop_all() {
+  local id
+  for id in "${process_ids[@]}"; do
+    kill -9 "$id" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  [ -z "$work_dir" ] || rm -rf "$work_dir"
+}
+
+begin_work() {
+  work_dir=$(mktemp -d)
+  trap stop_all EXIT
+}
+
+# write_settings FILE INSTANCE DOMAIN SERVICE VERSION BASE_PORT LOG_PORT SEED_PORT
+# Ports: base = peers, base+1 = callers, base+2 = operators, base+3 = upstream.
+write_settings() {
+  cat >"$1" <<JSON
+{
+  "instance": "$2", "failure_domain": "$3",
+  "listen": {"host": "127.0.0.1", "datagram_port": $6, "stream_port": $6,
+             "call_port": $(($6 + 1)), "operator_port": $(($6 + 2))},
+  "upstream": {"host": "127.0.0.1", "port": $(($6 + 3)), "service": "$4", "version": "$5"},
+  "log": {"host": "127.0.0.1", "port": $7},
+  "seeds": [{"host": "127.0.0.1", "datagram_port": $8, "stream_port": $8}]
+}
+JSON
+}
+
+# ctl OPERATOR_PORT ARGUMENTS...
+ctl() {
+  local port=$1
+  shift
+  "$build_dir/arbutuslb" ctl --daemon "127.0.0.1:$port" --operator demo "$@"
+}
+
+# Waits until the command succeeds. retry SECONDS COMMAND...
+retry() {
+  local limit=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ $SECONDS -lt $limit ] || return 1
+    sleep 0.1
+  done
+}
+
+# Prints the value of KEY in a line of key=value pairs. value_of KEY LINE
+value_of() {
+  sed -n "s/.*\\b$1=\\([^ ]*\\).*/\\1/p" <<<"$2"
+}
