--- a/src/arbutuslb/core/base/object_reader.cc
+++ b/src/arbutuslb/core/base/object_reader.cc
@@ -40,7 +40,7 @@
 
 std::string nearest_word(std::string_view word, const std::vector<std::string>& known) {
   std::string best;
-  std::size_t best_distance = word.size() / 2 + 1;
+  std::size_t best_distance = std::max<std::size_t>(2, word.size() / 2) + 1;
   for (const std::string& candidate : known) {
     const std::size_t distance = edit_distance(word, candidate);
     if (distance < best_distance) {
--- /dev/null
+++ b/src/arbutuslb/core/calls/calls_test.cc
@@ -0,0 +1,104 @@
+#include "arbutuslb/core/calls/duplicate_filter.h"
+#include "arbutuslb/core/calls/key_table.h"
+#include "arbutuslb/core/calls/minted_key.h"
+#include "arbutuslb/core/calls/poison_registry.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace arbutuslb::core;
+using namespace arbutuslb::core::calls;
+using protocol::call_outcome;
+
+const time_point now{std::chrono::hours{24}};
+
+} // namespace
+
+Test(minted_key, text_gives_the_same_key_back_and_changes_are_noticed) {
+  const minted_key key{{0xabcdef}, {77}, 5};
+  const std::string text = to_string(key);
+  cr_assert(parse_minted_key(text) == key);
+  std::string other = text;
+  other[5] = other[5] == '1' ? '2' : '1';
+  for (const std::string& wrong :
+       {other, std::string("order-17"), std::string(""), text + "0", text.substr(0, 10)}) {
+    cr_assert_not(parse_minted_key(wrong).has_value(), "%s", wrong.c_str());
+  }
+}
+
+Test(key_table, a_key_starts_once_and_repeats_get_its_outcome) {
+  key_table table;
+  const std::uint64_t key = table.mint();
+  cr_assert_eq(table.begin(key, 1, now), key_state::fresh);
+  cr_assert_eq(table.begin(key, 2, now), key_state::running);
+  cr_assert_eq(table.take_waiters(key).size(), 2U);
+  table.finish(key, {call_outcome::answered, "", {200, "", "done"}});
+  cr_assert_eq(table.begin(key, 3, now), key_state::finished);
+  cr_assert_eq(table.result_of(key).answer.body, "done");
+}
+
+Test(key_table, only_a_key_that_was_not_run_starts_again) {
+  key_table table;
+  const std::uint64_t key = table.mint();
+  table.begin(key, 1, now);
+  table.finish(key, {call_outcome::not_run, "", {}});
+  cr_assert_eq(table.begin(key, 1, now), key_state::fresh);
+  table.finish(key, {call_outcome::unknown, "", {}});
+  cr_assert_eq(table.begin(key, 1, now), key_state::finished);
+}
+
+Test(key_table, a_late_answer_replaces_unknown_but_never_an_answer) {
+  key_table table;
+  const std::uint64_t key = table.mint();
+  table.begin(key, 1, now);
+  table.finish(key, {call_outcome::unknown, "", {}});
+  table.finish(key, {call_outcome::answered, "", {200, "", "late"}});
+  table.finish(key, {call_outcome::not_run, "", {}});
+  cr_assert_eq(table.result_of(key).outcome, call_outcome::answered);
+}
+
+Test(key_table, forgotten_and_foreign_keys_never_start) {
+  key_table table;
+  const std::uint64_t key = table.mint();
+  table.begin(key, 1, now);
+  table.finish(key, {call_outcome::answered, "", {}});
+  table.forget(now + key_memory + std::chrono::seconds{1});
+  cr_assert_eq(table.begin(key, 1, now), key_state::forgotten);
+  cr_assert_eq(table.begin(key + 1, 1, now), key_state::not_minted);
+}
+
+Test(key_table, memory_is_bounded) {
+  key_table table;
+  for (std::size_t i = 0; i < max_remembered_keys + 100; ++i) {
+    const std::uint64_t key = table.mint();
+    table.begin(key, 1, now);
+    table.finish(key, {call_outcome::answered, "", {}});
+    table.forget(now);
+  }
+  cr_assert_leq(table.size(), max_remembered_keys);
+}
+
+Test(duplicate_filter, repeats_and_numbers_below_the_window_are_dropped) {
+  duplicate_filter filter;
+  cr_assert(filter.admit({{1}, {1}, 10}));
+  cr_assert_not(filter.admit({{1}, {1}, 10}));
+  for (std::uint64_t i = 11; i < 200; ++i) {
+    cr_assert(filter.admit({{1}, {1}, i}));
+  }
+  cr_assert_not(filter.admit({{1}, {1}, 5}));
+  cr_assert(filter.admit({{1}, {2}, 5}));
+  cr_assert_not(filter.admit({{1}, {1}, 500}), "an earlier process of the sender");
+}
+
+Test(poison_registry, second_death_refuses_the_culprit_and_not_its_neighbours) {
+  poison_registry registry;
+  registry.on_death({1, 2, 3}, now);
+  cr_assert_not(registry.is_refused(1, now));
+  registry.clear(2);
+  registry.clear(3);
+  cr_assert_eq(registry.on_death({1, 4, 5}, now).size(), 1U);
+  cr_assert(registry.is_refused(1, now));
+  cr_assert_not(registry.is_suspect(4, now));
+  cr_assert_not(registry.is_refused(1, now + first_refusal));
+}
--- a/src/arbutuslb/core/calls/duplicate_filter.h
+++ b/src/arbutuslb/core/calls/duplicate_filter.h
@@ -1,20 +1,21 @@
 // Recognizes repeated and very late requests of other daemons, in bounded memory.
 //
-// Sequence numbers of one sender's life rise. The filter remembers a window of the highest; any
+// Sequence numbers of one sender's process rise. The filter remembers a window of the highest; any
 // number below the window counts as a repeat.
 #pragma once
 
 #include "arbutuslb/core/base/ids.h"
 
+#include <algorithm>
 #include <map>
-#include <set>
+#include <vector>
 
 namespace arbutuslb::core::calls {
 
 // Not thread-safe.
 class duplicate_filter {
 public:
-  // Returns true if the request was not seen before, and remembers it. O(log window).
+  // Returns true if the request was not seen before, and remembers it. O(window).
   bool admit(const call_id& id) {
     window& seen = windows_[id.caller];
     if (id.caller_boot < seen.boot) {
@@ -23,11 +24,15 @@
     if (id.caller_boot > seen.boot) {
       seen = window{id.caller_boot, 0, {}};
     }
-    if (id.sequence < seen.floor || !seen.sequences.insert(id.sequence).second) {
+    const std::vector<std::uint64_t>::iterator place =
+        std::lower_bound(seen.sequences.begin(), seen.sequences.end(), id.sequence);
+    const bool is_known = place != seen.sequences.end() && *place == id.sequence;
+    if (id.sequence < seen.floor || is_known) {
       return false;
     }
+    seen.sequences.insert(place, id.sequence);
     if (seen.sequences.size() > window_size) {
-      seen.floor = *seen.sequences.begin() + 1;
+      seen.floor = seen.sequences.front() + 1;
       seen.sequences.erase(seen.sequences.begin());
     }
     return true;
@@ -40,7 +45,7 @@
   struct window {
     incarnation boot;
     std::uint64_t floor = 0;
-    std::set<std::uint64_t> sequences;
+    std::vector<std::uint64_t> sequences; // in rising order
   };
   std::map<member_id, window> windows_;
 };
--- a/src/arbutuslb/core/calls/key_table.h
+++ b/src/arbutuslb/core/calls/key_table.h
@@ -19,7 +19,7 @@
 inline constexpr std::chrono::minutes key_memory{10};
 inline constexpr std::size_t max_remembered_keys = 8192;
 // The total size of the answers that are kept, in bytes.
-inline constexpr std::size_t max_remembered_bytes = 8 * 1024 * 1024;
+inline constexpr std::size_t max_remembered_bytes = std::size_t{8} * 1024 * 1024;
 
 enum class key_state : std::uint8_t {
   fresh,     // not started before: the caller of `begin` must start it
--- /dev/null
+++ b/src/arbutuslb/core/config/configuration_test.cc
@@ -0,0 +1,143 @@
+#include "arbutuslb/core/config/configuration.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace arbutuslb::core;
+using namespace arbutuslb::core::config;
+
+std::string publish_record(const std::string& id, const std::string& document) {
+  record value;
+  value.command_id = id;
+  value.operator_name = "ann";
+  value.body = parse_publish_document(document);
+  return serialize(value);
+}
+
+const std::string menu_document = R"({
+  "domains": [{"name": "d1"}, {"name": "d2"}],
+  "services": [{"name": "menu", "versions": ["v1", "v2"]}],
+  "routes": [{"name": "menu", "path_prefix": "/menu", "service": "menu"}]
+})";
+
+configuration with_menu() {
+  configuration state;
+  state.fold(1, publish_record("c1", menu_document));
+  return state;
+}
+
+std::string command_record(const std::string& id, command body,
+                           std::map<std::string, config_version> against = {}) {
+  record value;
+  value.command_id = id;
+  value.operator_name = "bob";
+  value.against = std::move(against);
+  value.body = std::move(body);
+  return serialize(value);
+}
+
+} // namespace
+
+Test(configuration, publish_is_accepted_whole) {
+  const configuration state = with_menu();
+  cr_assert_eq(state.version(), 1U);
+  cr_assert_not_null(state.find_service("menu"));
+  cr_assert_not_null(state.match_route("/menu/today"));
+  cr_assert_null(state.match_route("/menus"));
+}
+
+Test(configuration, bad_publish_changes_nothing_and_names_every_place) {
+  configuration state = with_menu();
+  const std::string before = state.find_service("menu")->active;
+  const fold_result result = state.fold(2, publish_record("c2", R"({
+    "services": [{"name": "menu", "versions": ["v2"]}],
+    "routes": [{"name": "pay", "path_prefix": "/pay", "service": "checuot"},
+               {"name": "stock", "path_prefix": "/menu", "service": "menu"}]})"));
+  cr_assert_eq(result.status, fold_status::refused);
+  cr_assert_geq(result.findings.size(), 3U);
+  cr_assert_eq(result.findings[1].place, "routes[0].service");
+  cr_assert_eq(state.find_service("menu")->active, before);
+  cr_assert_null(state.match_route("/pay"));
+}
+
+Test(configuration, malformed_records_are_skipped_alike) {
+  configuration left = with_menu();
+  configuration right = with_menu();
+  cr_assert_eq(left.fold(2, "{not json").status, fold_status::malformed);
+  cr_assert_eq(right.fold(2, "{not json").status, fold_status::malformed);
+  cr_assert_eq(left.version(), 2U);
+  cr_assert_eq(left.state_hash(), right.state_hash());
+  const std::string deep(100'000, '[');
+  cr_assert_eq(left.fold(3, deep).status, fold_status::malformed);
+  const std::string large(max_record_bytes + 1, ' ');
+  cr_assert_eq(left.fold(4, large).status, fold_status::malformed);
+}
+
+Test(configuration, repeated_command_has_one_effect) {
+  configuration state = with_menu();
+  const std::string record = command_record("w1", withdraw_command{"d1"});
+  cr_assert_eq(state.fold(2, record).status, fold_status::accepted);
+  cr_assert_eq(state.fold(3, record).status, fold_status::repeated);
+  cr_assert(state.outcome_of("w1")->accepted);
+  cr_assert_eq(state.outcome_of("w1")->version, 2U);
+}
+
+Test(configuration, the_later_of_two_racing_commands_is_told_who_won) {
+  configuration state = with_menu();
+  const std::map<std::string, config_version> against{{"domain/d1", 1}};
+  state.fold(2, command_record("w1", withdraw_command{"d1"}, against));
+  const fold_result late = state.fold(3, command_record("w2", withdraw_command{"d1"}, against));
+  cr_assert_eq(late.status, fold_status::refused);
+  cr_assert(late.findings[0].text.find("bob changed it at version 2 by command w1") !=
+            std::string::npos);
+}
+
+Test(configuration, offsets_that_leave_a_gap_or_go_back_are_not_taken) {
+  configuration state = with_menu();
+  cr_assert_eq(state.fold(3, publish_record("c3", menu_document)).status,
+               fold_status::out_of_order);
+  cr_assert_eq(state.fold(1, publish_record("c4", menu_document)).status,
+               fold_status::out_of_order);
+  cr_assert_eq(state.version(), 1U);
+}
+
+Test(configuration, snapshot_gives_the_same_state_and_bytes) {
+  configuration state = with_menu();
+  state.fold(2, command_record("w1", withdraw_command{"d1"}));
+  state.fold(3, "garbage");
+  const configuration copy = configuration::from_snapshot(state.snapshot());
+  cr_assert_eq(copy.version(), state.version());
+  cr_assert_eq(copy.state_hash(), state.state_hash());
+  cr_assert_eq(copy.snapshot(), state.snapshot());
+}
+
+Test(configuration, move_has_one_outcome_and_a_done_move_makes_the_version_active) {
+  configuration state = with_menu();
+  move_command started{"menu", "v1", "v2", time_point{std::chrono::hours{1}}, {}};
+  cr_assert_eq(state.fold(2, command_record("m1", started)).status, fold_status::accepted);
+  cr_assert_eq(state.fold(3, command_record("m2", started)).status, fold_status::refused);
+  cr_assert_eq(state.fold(4, command_record("s1", move_step_command{2, 100})).status,
+               fold_status::accepted);
+  cr_assert_eq(state.fold(5, command_record("s0", move_step_command{2, 50})).status,
+               fold_status::refused);
+  state.fold(6, command_record("v1", move_verdict_command{2, true, "good"}));
+  cr_assert_eq(state.fold(7, command_record("v2", move_verdict_command{2, false, "bad"})).status,
+               fold_status::refused);
+  cr_assert_eq(state.find_service("menu")->active, "v2");
+}
+
+Test(configuration, the_last_domain_in_use_cannot_be_withdrawn) {
+  configuration state = with_menu();
+  state.fold(2, command_record("w1", withdraw_command{"d1"}));
+  cr_assert_eq(state.fold(3, command_record("w2", withdraw_command{"d2"})).status,
+               fold_status::refused);
+}
+
+Test(configuration, a_service_that_routes_need_cannot_be_removed) {
+  configuration state = with_menu();
+  const fold_result result =
+      state.fold(2, publish_record("c2", R"({"remove_services": ["menu"]})"));
+  cr_assert_eq(result.status, fold_status::refused);
+  cr_assert_eq(result.findings[0].place, "remove_services");
+}
--- a/src/arbutuslb/core/config/records.h
+++ b/src/arbutuslb/core/config/records.h
@@ -16,7 +16,7 @@
 namespace arbutuslb::core::config {
 
 // The longest record that is accepted, in bytes.
-inline constexpr std::size_t max_record_bytes = 256 * 1024;
+inline constexpr std::size_t max_record_bytes = std::size_t{256} * 1024;
 
 // Creates or replaces objects, and removes others.
 struct publish_command {
--- a/src/arbutuslb/core/engine/call_router.cc
+++ b/src/arbutuslb/core/engine/call_router.cc
@@ -46,7 +46,7 @@
   if (shared_.is_stopping) {
     return "daemon is leaving";
   }
-  if (shared_.configuration.version() == 0) {
+  if (!shared_.is_ready) {
     return "no configuration yet";
   }
   return call.content.depth > max_depth ? "call is too deep" : "";
@@ -268,12 +268,69 @@
 void call_router::dispatch(pending_call call) {
   const std::optional<member_id> target = choose_target(call);
   if (!target) {
-    finish(call, not_run("no upstream can take the request"));
+    park_or_finish(std::move(call), not_run("no upstream can take the request"));
     return;
   }
   send_attempt(std::move(call), *target);
 }
 
+void call_router::park_or_finish(pending_call call, key_result result) {
+  if (call.parked_until == time_point{}) {
+    call.parked_until = std::min(shared_.now + max_parked_time, call.deadline);
+  }
+  if (shared_.now >= call.parked_until || shared_.is_stopping) {
+    finish(call, std::move(result));
+    return;
+  }
+  if (parked_.size() < max_parked_calls) {
+    parked_.push_back(std::move(call));
+    return;
+  }
+  const auto is_lower = [](const pending_call& left, const pending_call& right) {
+    return left.priority < right.priority;
+  };
+  const std::vector<pending_call>::iterator lowest =
+      std::max_element(parked_.begin(), parked_.end(), is_lower);
+  if (is_lower(call, *lowest)) {
+    std::swap(call, *lowest);
+  }
+  finish(call, std::move(result));
+}
+
+// Each answer makes room for one parked call. Sending all of them at once would only have them
+// refused together.
+void call_router::dispatch_parked(const std::string& service) {
+  std::vector<pending_call>::iterator chosen = parked_.end();
+  for (std::vector<pending_call>::iterator item = parked_.begin(); item != parked_.end(); ++item) {
+    const bool is_better = chosen == parked_.end() || item->priority < chosen->priority;
+    chosen = item->service == service && is_better ? item : chosen;
+  }
+  if (chosen == parked_.end()) {
+    return;
+  }
+  pending_call call = std::move(*chosen);
+  parked_.erase(chosen);
+  call.tried.clear();
+  dispatch(std::move(call));
+}
+
+void call_router::check_parked() {
+  std::set<std::string> services;
+  std::vector<pending_call> kept;
+  for (pending_call& call : std::exchange(parked_, {})) {
+    if (shared_.now >= call.parked_until) {
+      finish(call, not_run("no upstream had room"));
+      continue;
+    }
+    services.insert(call.service);
+    kept.push_back(std::move(call));
+  }
+  parked_ = std::move(kept);
+  for (const std::string& service : services) {
+    dispatch_parked(service); // no answer may be on its way
+  }
+}
+
 void call_router::send_attempt(pending_call call, member_id target) {
   const membership::member* peer = shared_.members.find(target);
   const duration remaining = call.deadline - shared_.now;
@@ -330,9 +387,14 @@
       stats.on_answer(shared_.now - call.sent);
     }
     finish(call, {call_outcome::answered, "", reply.answer});
+    dispatch_parked(call.service);
     break;
   case call_outcome::not_run:
-    stats.on_refused(shared_.now, refusal_pause + shared_.random.jitter(refusal_pause));
+    if (reply.load.in_flight >= reply.load.limit - 1.0) {
+      stats.on_busy(shared_.now, busy_pause + shared_.random.jitter(busy_pause));
+    } else {
+      stats.on_refused(shared_.now, refusal_pause + shared_.random.jitter(refusal_pause));
+    }
     retry_or_finish(std::move(call), not_run(reply.reason));
     break;
   case call_outcome::unknown:
@@ -353,16 +415,18 @@
     const std::optional<member_id> target = choose_target(call);
     if (target) {
       send_attempt(std::move(call), *target);
-      return;
+    } else {
+      park_or_finish(std::move(call), std::move(result));
     }
-  }
-  if (call.may_have_run && result.outcome == call_outcome::not_run) {
-    result = unknown("an earlier attempt may have run; the last: " + result.reason);
+    return;
   }
   finish(call, std::move(result));
 }
 
 void call_router::finish(const pending_call& call, key_result result) {
+  if (call.may_have_run && result.outcome == call_outcome::not_run) {
+    result = unknown("an earlier attempt may have run; the last: " + result.reason);
+  }
   if (call.key_number == 0) {
     ids_by_token_.erase(call.token);
     if (!call.gave_up) {
@@ -473,6 +537,8 @@
 }
 
 void call_router::on_tick() {
+  directory_.set_unreachable(shared_.unreachable_domains());
+  check_parked();
   check_pending();
   check_forwarded();
   keys_.forget(shared_.now);
@@ -480,7 +546,8 @@
 
 bool call_router::is_idle() const {
   const auto is_waiting = [](const auto& item) { return !item.second.gave_up; };
-  return forwarded_.empty() && std::none_of(calls_.begin(), calls_.end(), is_waiting);
+  return forwarded_.empty() && parked_.empty() &&
+         std::none_of(calls_.begin(), calls_.end(), is_waiting);
 }
 
 void call_router::on_abandoned(const call_abandoned& call) {
--- a/src/arbutuslb/core/engine/call_router.h
+++ b/src/arbutuslb/core/engine/call_router.h
@@ -21,7 +21,11 @@
 inline constexpr const char* mint_path = "/-/key";
 inline constexpr int max_attempts = 4;
 inline constexpr std::chrono::milliseconds refusal_pause{20};
+inline constexpr std::chrono::milliseconds busy_pause{5};
 inline constexpr std::chrono::milliseconds keyed_resend_period{400};
+// A call for which no upstream has room waits this long for one, and this many wait at once.
+inline constexpr std::chrono::milliseconds max_parked_time{250};
+inline constexpr std::size_t max_parked_calls = 64;
 // Calls deeper than this are taken to be a loop.
 inline constexpr std::uint32_t max_depth = 64;
 
@@ -74,6 +78,7 @@
     std::uint64_t fingerprint = 0;
     time_point began;
     time_point deadline;
+    time_point parked_until{};
     int attempts = 0;
     std::vector<member_id> tried;
     member_id target;
@@ -105,6 +110,10 @@
   void dispatch(pending_call call);
   std::string choose_version(const config::service& service, const pending_call& call);
   std::optional<member_id> choose_target(pending_call& call);
+  // Keeps the call until an upstream has room, or finishes it.
+  void park_or_finish(pending_call call, calls::key_result result);
+  void dispatch_parked(const std::string& service);
+  void check_parked();
   void send_attempt(pending_call call, member_id target);
   // Sends an idempotent or not-run call again, or finishes it.
   void retry_or_finish(pending_call call, calls::key_result result);
@@ -124,6 +133,7 @@
   std::map<std::string, routing::retry_budget> budgets_; // by service
   std::map<call_id, pending_call> calls_;
   std::map<std::uint64_t, call_id> ids_by_token_;
+  std::vector<pending_call> parked_;
   std::map<std::uint64_t, forwarded_call> forwarded_;
   calls::key_table keys_;
   std::map<std::uint64_t, waiter> waiters_;
--- a/src/arbutuslb/core/engine/context.cc
+++ b/src/arbutuslb/core/engine/context.cc
@@ -29,8 +29,54 @@
 }
 
 protocol::digest context::held() const {
-  return {configuration.version(), configuration.state_hash(), now - log_confirmed_at,
-          members.fleet_hash()};
+  return {configuration.version(),
+          configuration.state_hash(),
+          now - log_confirmed_at,
+          members.fleet_hash(),
+          {}};
+}
+
+namespace {
+
+std::uint32_t domain_hash(const std::string& domain) {
+  return static_cast<std::uint32_t>(hash_bytes(domain));
+}
+
+bool is_probe(const protocol::message_body& body) {
+  return std::holds_alternative<protocol::ping>(body) ||
+         std::holds_alternative<protocol::ack>(body);
+}
+
+} // namespace
+
+void context::note_heard(const std::string& domain, time_point at) {
+  time_point& known = heard_[domain_hash(domain)];
+  known = std::max(known, at);
+}
+
+void context::note_heard(const protocol::domain_age& heard) {
+  time_point& known = heard_[heard.domain_hash];
+  known = std::max(known, now - heard.age);
+}
+
+std::optional<time_point> context::last_heard(const std::string& domain) const {
+  const std::map<std::uint32_t, time_point>::const_iterator found =
+      heard_.find(domain_hash(domain));
+  if (found == heard_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::set<std::string> context::unreachable_domains() const {
+  std::set<std::string> names;
+  for (const std::string& domain : members.domains()) {
+    const std::optional<time_point> heard = last_heard(domain);
+    if (domain != settings.domain && heard && now - *heard > unreachable_after) {
+      names.insert(domain);
+    }
+  }
+  return names;
 }
 
 void context::send(member_id to, protocol::message_body body, channel via) {
@@ -44,6 +90,11 @@
   protocol::message value;
   value.sender = self;
   value.held = held();
+  if (is_probe(body)) {
+    for (const auto& [domain, at] : heard_) {
+      value.held.domains.push_back({domain, now - at});
+    }
+  }
   if (!std::holds_alternative<protocol::config_push>(body)) {
     value.updates = rumors.take(updates_per_message, members.size());
   }
--- a/src/arbutuslb/core/engine/context.h
+++ b/src/arbutuslb/core/engine/context.h
@@ -7,6 +7,7 @@
 #include "arbutuslb/core/membership/member_table.h"
 #include "arbutuslb/core/membership/rumor_queue.h"
 
+#include <optional>
 #include <set>
 
 namespace arbutuslb::core::engine {
@@ -17,6 +18,8 @@
 
 // Peers that a new piece of knowledge is passed to at once.
 inline constexpr std::size_t push_fanout = 4;
+// A domain counts as unreachable when nobody in the own domain has heard of it for this long.
+inline constexpr std::chrono::seconds unreachable_after{8};
 // Membership updates carried by one message.
 inline constexpr std::size_t updates_per_message = 5;
 
@@ -78,6 +81,14 @@
   std::vector<member_id> fleet_duty_holders(const std::string& duty, std::size_t count);
   std::vector<member_id> random_domain_peers(std::size_t count);
 
+  // Something was heard from the domain at that time, here or by a peer of the own domain.
+  void note_heard(const std::string& domain, time_point at);
+  void note_heard(const protocol::domain_age& heard);
+  // When anything was last heard from the domain; nothing if never.
+  std::optional<time_point> last_heard(const std::string& domain) const;
+  // The domains that nothing has been heard of for `unreachable_after`.
+  std::set<std::string> unreachable_domains() const;
+
   std::uint64_t next_number() { return ++last_number_; }
   protocol::digest held() const;
 
@@ -92,11 +103,14 @@
   std::vector<action> actions;
   statistics totals;
   bool is_stopping = false;
+  // Holds a configuration that is as high as its reachable peers and the log allow.
+  bool is_ready = false;
   // Reads of the log are wanted at once, whoever has the duty.
   bool wants_log_read = false;
 
 private:
   std::uint64_t last_number_ = 0;
+  std::map<std::uint32_t, time_point> heard_; // by the hash of the domain's name
   std::uint64_t peers_generation_ = 0;
   std::vector<member_id> peers_;
 };
--- a/src/arbutuslb/core/engine/daemon_core.cc
+++ b/src/arbutuslb/core/engine/daemon_core.cc
@@ -92,7 +92,7 @@
     : shared_(std::move(settings), seed, now), membership_(shared_), distribution_(shared_),
       gate_(shared_, poison_), router_(shared_, poison_), writer_(shared_),
       conductor_(shared_, writer_, router_.braked_moves()),
-      operators_(shared_, distribution_, membership_, writer_, conductor_) {}
+      operators_(shared_, distribution_, writer_, conductor_) {}
 
 std::vector<action> daemon_core::handle(const event& value, time_point now) {
   shared_.now = now;
--- /dev/null
+++ b/src/arbutuslb/core/engine/distribution_test.cc
@@ -0,0 +1,241 @@
+// Promises: no daemon goes back, no route without its resource, nothing applied in part, in force
+// everywhere within 3 s, and one outcome for racing commands.
+
+#include "arbutuslb/core/base/hash.h"
+#include "arbutuslb/core/engine/test_support.h"
+
+namespace {
+
+using namespace arbutuslb;
+using namespace arbutuslb::core;
+using namespace arbutuslb::core::engine;
+using namespace arbutuslb::core::engine::testing;
+using operators::exit_code;
+using operators::report;
+
+constexpr std::chrono::seconds in_force_bound{3};
+const std::string add_stock = R"({"routes": [
+  {"name": "stock2", "path_prefix": "/stock2", "service": "menu"}]})";
+
+std::uint64_t highest(test_fleet& fleet) {
+  std::uint64_t version = 0;
+  for (const std::string& name : fleet.names()) {
+    if (fleet.is_running(name)) {
+      version = std::max(version, fleet.daemon(name).configuration().version());
+    }
+  }
+  return version;
+}
+
+} // namespace
+
+Test(distribution, a_version_is_in_force_everywhere_within_the_bound) {
+  for_each_seed(5, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2", "d3"});
+    start_van_mesh(fleet);
+    const report accepted = fleet.ask("d1-menu", "publish", add_stock);
+    ASSERT_SEED(accepted.result == "accepted", seed);
+    ASSERT_SEED(fleet.run_until([&] { return fleet.all_at(2); }, in_force_bound), seed);
+    const report wait = fleet.ask("d3-menu", "wait 2 within 3");
+    ASSERT_SEED(wait.code == exit_code::ok, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(distribution, crossed_repeated_and_lost_messages_never_take_a_daemon_back) {
+  for_each_seed(5, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    fleet.link.max_delay = 200ms;
+    fleet.link.datagram_loss = 0.2;
+    fleet.link.repeat = 0.3;
+    add_van_daemons(fleet, {"d1", "d2", "d3"});
+    fleet.run_for(5s);
+    fleet.ask("d1-menu", "publish", fakes::van_mesh);
+    for (int i = 0; i < 12; ++i) {
+      fleet.ask(i % 2 == 0 ? "d2-menu" : "d1-menu", i % 4 < 2 ? "withdraw d3" : "return d3");
+    }
+    const std::uint64_t last = highest(fleet);
+    ASSERT_SEED(fleet.run_until([&] { return fleet.all_at(last); }, in_force_bound), seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(distribution, in_force_within_the_bound_when_every_reader_dies) {
+  for_each_seed(5, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    for (int i = 0; i < 10; ++i) {
+      fleet.add("m" + std::to_string(i), "d1", "menu", "v1");
+    }
+    start_van_mesh(fleet);
+    const std::vector<member_id> readers = membership::highest_ranked(
+        context::duty_key("reader", "d1"), fleet.daemon("m0").members().present_in("d1"),
+        readers_per_domain);
+    std::string survivor;
+    for (const std::string& name : fleet.names()) {
+      const bool is_reader =
+          std::find(readers.begin(), readers.end(), member_id_of(name)) != readers.end();
+      if (is_reader) {
+        fleet.kill(name);
+      } else {
+        survivor = name;
+      }
+    }
+    // Another domain's daemon would have written this record; nobody here knows of it yet.
+    config::record value;
+    value.command_id = "from-elsewhere";
+    value.body = config::withdraw_command{"d2"};
+    fleet.store.append(config_stream, config::serialize(value));
+    ASSERT_SEED(fleet.run_until([&] { return fleet.all_at(2); }, in_force_bound), seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(distribution, lost_log_answers_are_cured_by_repeating_and_take_effect_once) {
+  for_each_seed(3, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2"});
+    start_van_mesh(fleet);
+    fleet.log.lose_answers = 1;
+    const report accepted = fleet.ask("d1-menu", "withdraw d2", {}, "w1");
+    ASSERT_SEED(accepted.result == "accepted", seed);
+    fleet.run_for(6s);
+    const report again = fleet.ask("d2-menu", "withdraw d2", {}, "w1");
+    ASSERT_SEED(again.result == "accepted", seed);
+    ASSERT_SEED(fleet.daemon("d1-menu").configuration().domains().at("d2").withdrawn, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(distribution, racing_operators_have_one_winner_everywhere) {
+  for_each_seed(5, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2", "d3"});
+    start_van_mesh(fleet);
+    const std::uint64_t left =
+        fleet.send_command("d1-menu", "move menu from v1 to v2 by +10m", {}, "left", "ann");
+    const std::uint64_t right =
+        fleet.send_command("d2-menu", "move menu from v1 to v2 by +20m", {}, "right", "bob");
+    fleet.run_for(3s);
+    const report first = fleet.answer_to(left).value();
+    const report second = fleet.answer_to(right).value();
+    ASSERT_SEED((first.result == "accepted") != (second.result == "accepted"), seed);
+    const report& loser = first.result == "accepted" ? second : first;
+    const std::string winner = first.result == "accepted" ? "ann" : "bob";
+    ASSERT_SEED(loser.code == exit_code::refused, seed);
+    ASSERT_SEED(loser.findings[0].text.find(winner) != std::string::npos, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(distribution, a_bad_version_is_refused_with_all_findings_and_nothing_changes) {
+  test_fleet fleet(1);
+  add_van_daemons(fleet, {"d1", "d2"});
+  start_van_mesh(fleet);
+  const report refused = fleet.ask("d1-menu", "publish", R"({"routes": [
+    {"name": "a", "path_prefix": "/a", "service": "nowhere"},
+    {"name": "b", "path_prefix": "/b", "service": "menuu"}]})");
+  cr_assert_eq(refused.code, exit_code::refused);
+  cr_assert_eq(refused.findings.size(), 2U);
+  cr_assert_eq(highest(fleet), 1U);
+}
+
+Test(distribution, a_record_that_does_not_parse_is_skipped_by_all_alike) {
+  test_fleet fleet(1);
+  add_van_daemons(fleet, {"d1", "d2"});
+  start_van_mesh(fleet);
+  fleet.store.append(config_stream, "\x01\x02 not a record");
+  cr_assert(fleet.run_until([&] { return fleet.all_at(2); }, in_force_bound));
+  cr_assert(fleet.has_event("record_malformed offset=2"));
+  cr_assert_eq(fleet.ask("d1-menu", "withdraw d2").result, "accepted");
+  assert_no_violations(fleet, 1);
+}
+
+Test(distribution, a_fresh_process_starts_from_peers_while_the_log_is_out) {
+  for_each_seed(5, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2", "d3"});
+    start_van_mesh(fleet);
+    fleet.log.is_down = true;
+    fleet.run_for(5s);
+    fleet.restart("d2-menu");
+    const bool is_back =
+        fleet.run_until([&] { return fleet.daemon("d2-menu").configuration().version() == 1; }, 5s);
+    ASSERT_SEED(is_back, seed);
+    fleet.run_for(3s);
+    const answer_caller answer = fleet.call_and_wait("d2-menu", "/menu", "x", 500ms);
+    ASSERT_SEED(answer.outcome == protocol::call_outcome::answered, seed);
+    const report refused = fleet.ask("d1-menu", "withdraw d3");
+    ASSERT_SEED(refused.code == exit_code::not_accepted, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(distribution, snapshots_carry_the_state_past_the_logs_retention) {
+  for_each_seed(2, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2"});
+    start_van_mesh(fleet);
+    for (int i = 0; i < 140; ++i) {
+      config::record value;
+      value.command_id = "w" + std::to_string(i);
+      value.body = i % 2 == 0 ? config::command{config::withdraw_command{"d2"}}
+                              : config::command{config::return_command{"d2"}};
+      fleet.store.append(config_stream, config::serialize(value));
+    }
+    fleet.run_for(20s);
+    ASSERT_SEED(fleet.has_event("snapshot_written"), seed);
+    fleet.store.set_retention(5);
+    fleet.store.append(config_stream, "expire the rest");
+    for (const std::string& name : fleet.names()) {
+      fleet.kill(name); // nobody is left who remembers
+    }
+    for (const std::string& name : fleet.names()) {
+      fleet.restart(name);
+    }
+    ASSERT_SEED(fleet.run_until([&] { return fleet.all_at(142); }, 20s), seed);
+    ASSERT_SEED(fleet.daemon("d1-menu").configuration().find_service("menu") != nullptr, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(distribution, a_cut_domain_serves_says_its_age_and_catches_up) {
+  for_each_seed(3, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2", "d3"});
+    start_van_mesh(fleet);
+    fleet.cut("d3", "d1");
+    fleet.cut("d3", "d2");
+    fleet.cut_log("d3");
+    fleet.run_for(20s);
+    ASSERT_SEED(fleet.ask("d1-menu", "publish", add_stock).result == "accepted", seed);
+    const answer_caller answer = fleet.call_and_wait("d3-menu", "/menu", "x", 500ms);
+    ASSERT_SEED(answer.outcome == protocol::call_outcome::answered, seed);
+    const report there = fleet.ask("d3-menu", "what is in force");
+    ASSERT_SEED(there.code == exit_code::refused, seed);
+    const std::map<std::string, std::string> facts(there.facts.begin(), there.facts.end());
+    ASSERT_SEED(std::stoi(facts.at("knowledge_age")) >= 15, seed);
+    const report here = fleet.ask("d1-menu", "wait 2 within 2");
+    ASSERT_SEED(here.code == exit_code::refused, seed);
+    fleet.heal();
+    ASSERT_SEED(fleet.run_until([&] { return fleet.all_at(2); }, in_force_bound), seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(distribution, two_daemons_that_disagree_at_one_version_raise_an_alarm) {
+  test_fleet fleet(1);
+  add_van_daemons(fleet, {"d1", "d2"});
+  start_van_mesh(fleet);
+  protocol::message forged;
+  forged.sender = fleet.daemon("d2-menu").self();
+  forged.held = {1, 12345, {}, 0, {}};
+  forged.body = protocol::version_report{};
+  const std::vector<action> actions =
+      fleet.daemon("d1-menu").handle(peer_message{forged}, fleet.now());
+  const auto is_alarm = [](const action& item) {
+    const write_event* event = std::get_if<write_event>(&item);
+    return event != nullptr && event->name == "state_mismatch";
+  };
+  cr_assert(std::any_of(actions.begin(), actions.end(), is_alarm));
+}
--- a/src/arbutuslb/core/engine/distributor.cc
+++ b/src/arbutuslb/core/engine/distributor.cc
@@ -29,10 +29,27 @@
   }
   read_if_due();
   pull_if_behind();
+  note_readiness();
   report_version();
   write_snapshot_if_due();
 }
 
+// A fresh process serves only when it knows of nobody that holds a higher version.
+void distributor::note_readiness() {
+  if (shared_.is_ready || shared_.configuration.version() == 0 || !ahead_.empty()) {
+    return;
+  }
+  const std::size_t peers = shared_.domain_peers().size();
+  const std::size_t needed = std::min(peers_heard_before_ready, std::max<std::size_t>(peers, 1));
+  if (has_read_log_ || heard_.size() >= needed) {
+    shared_.is_ready = true;
+    heard_.clear();
+    shared_.write(severity::info, "ready",
+                  {{"version", std::to_string(shared_.configuration.version())},
+                   {"from", has_read_log_ ? "log" : "peers"}});
+  }
+}
+
 // --- reading the log ---
 
 bool distributor::has_read_duty() {
@@ -109,6 +126,7 @@
   if (shared_.configuration.version() + 1 >= result.next_offset) {
     shared_.log_confirmed_at = std::max(shared_.log_confirmed_at, sent);
     shared_.wants_log_read = false;
+    has_read_log_ = true;
   }
   beat_to_substitutes();
   read_if_due();
@@ -284,6 +302,9 @@
   if (theirs.version == own) {
     shared_.log_confirmed_at = std::max(shared_.log_confirmed_at, shared_.now - theirs.log_age);
   }
+  if (!shared_.is_ready) {
+    heard_.insert(from.sender.id);
+  }
   if (theirs.version > own) {
     if (ahead_.size() >= max_peers_ahead) {
       ahead_.erase(ahead_.begin());
--- a/src/arbutuslb/core/engine/distributor.h
+++ b/src/arbutuslb/core/engine/distributor.h
@@ -25,7 +25,7 @@
 inline constexpr std::chrono::seconds report_refresh{10};
 // Records kept to serve peers that are a little behind.
 inline constexpr std::size_t kept_records = 512;
-inline constexpr std::size_t max_push_bytes = 128 * 1024;
+inline constexpr std::size_t max_push_bytes = std::size_t{128} * 1024;
 // Records pushed by datagram are at most this long; peers pull longer ones.
 inline constexpr std::size_t max_datagram_record_bytes = 900;
 // Snapshots that one daemon hands out a second, and at once.
@@ -34,6 +34,8 @@
 // Records after which the state is written to the snapshot stream.
 inline constexpr config_version records_per_snapshot = 128;
 inline constexpr std::size_t snapshot_writers = 3;
+// Peers that a fresh process hears before it serves, unless it has read the log itself.
+inline constexpr std::size_t peers_heard_before_ready = 3;
 
 // Not thread-safe.
 class distributor {
@@ -80,6 +82,7 @@
   };
 
   bool has_read_duty();
+  void note_readiness();
   void read_if_due();
   void start_read(const std::string& stream, std::uint64_t from, duration wait);
   void on_config_read(const log_read& result);
@@ -108,6 +111,8 @@
   bool needs_snapshot_ = false;
 
   std::map<member_id, config_version> ahead_; // peers that hold more
+  std::set<member_id> heard_;                 // peers whose digest was seen before being ready
+  bool has_read_log_ = false;
   std::optional<outstanding_pull> pull_;
   time_point next_pull_{};
   double bootstrap_tokens_ = bootstrap_burst;
--- /dev/null
+++ b/src/arbutuslb/core/engine/load_test.cc
@@ -0,0 +1,194 @@
+// Promises: a freshly started upstream gets no more than it bears; withdrawn domains get no new
+// work; crashing requests are contained; overload passes by itself.
+
+#include "arbutuslb/core/engine/test_support.h"
+
+namespace {
+
+using namespace arbutuslb;
+using namespace arbutuslb::core;
+using namespace arbutuslb::core::engine;
+using namespace arbutuslb::core::engine::testing;
+using protocol::call_outcome;
+
+const fakes::model_upstream_settings cold_upstream{
+    .slots = 10, .cold_slots = 2, .warm_up_requests = 300, .latency = 10ms};
+
+void warm_up(test_fleet& fleet, const std::vector<std::string>& vias) {
+  for (const std::string& via : vias) {
+    drive(fleet, via, "/menu", 250, 6s);
+  }
+  fleet.run_for(7s);
+}
+
+} // namespace
+
+Test(load, a_fresh_upstream_is_not_run_over) {
+  for_each_seed(4, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2"}, cold_upstream);
+    start_van_mesh(fleet);
+    warm_up(fleet, {"d1-pre-orders", "d2-pre-orders"});
+    fleet.upstream("d1-menu").make_cold();
+    fleet.restart("d1-menu");
+    fleet.run_for(3s);
+    const time_point begin = fleet.now();
+    drive(fleet, "d1-pre-orders", "/menu", 250, 5s);
+    drive(fleet, "d2-pre-orders", "/menu", 250, 5s);
+    int worst = 0;
+    for (int i = 0; i < 500; ++i) {
+      fleet.run_for(10ms);
+      const fakes::model_upstream& fresh = fleet.upstream("d1-menu");
+      worst = std::max(worst, static_cast<int>(fresh.in_flight > 2 * fresh.capacity() + 1));
+    }
+    fleet.run_for(1s);
+    ASSERT_SEED(worst == 0, seed);
+    ASSERT_SEED(good_share(fleet, begin, fleet.now()).share() > 0.97, seed);
+  });
+}
+
+Test(load, an_upstream_that_turns_cold_without_saying_so_gets_less) {
+  for_each_seed(4, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2"}, cold_upstream);
+    start_van_mesh(fleet);
+    warm_up(fleet, {"d1-pre-orders", "d2-pre-orders"});
+    fleet.upstream("d1-menu").make_cold();
+    const time_point begin = fleet.now();
+    drive(fleet, "d1-pre-orders", "/menu", 300, 6s);
+    drive(fleet, "d2-pre-orders", "/menu", 300, 6s);
+    fleet.run_for(7s);
+    ASSERT_SEED(good_share(fleet, begin + 1s, fleet.now()).share() > 0.95, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(load, all_cold_at_once_sheds_and_recovers_without_collapse) {
+  for_each_seed(4, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2"}, cold_upstream);
+    start_van_mesh(fleet);
+    const time_point begin = fleet.now();
+    for (const std::string via : {"d1-pre-orders", "d2-pre-orders"}) {
+      drive(fleet, via, "/menu", 450, 12s);
+    }
+    fleet.run_for(13s);
+    // Two upstreams of 10 slots at 10 ms bear 2000 calls a second when warm; 900 are offered.
+    ASSERT_SEED(good_share(fleet, begin + 8s, begin + 12s).share() > 0.98, seed);
+    ASSERT_SEED(good_share(fleet, begin, begin + 4s).good > 400, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(load, goodput_returns_by_itself_after_a_spike) {
+  for_each_seed(4, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2"}, {.slots = 10, .cold_slots = 10, .latency = 10ms});
+    start_van_mesh(fleet);
+    warm_up(fleet, {"d1-pre-orders", "d2-pre-orders"});
+    const time_point spike = fleet.now();
+    drive(fleet, "d1-pre-orders", "/menu", 300, 12s);
+    drive(fleet, "d2-pre-orders", "/menu", 6000, 2s);
+    fleet.run_for(13s);
+    ASSERT_SEED(good_share(fleet, spike + 4s, spike + 12s).share() > 0.99, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(load, under_overload_critical_calls_are_kept_and_deferrable_ones_shed) {
+  for_each_seed(4, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1"}, {.slots = 10, .cold_slots = 10, .latency = 10ms});
+    start_van_mesh(fleet);
+    warm_up(fleet, {"d1-pre-orders"});
+    const time_point begin = fleet.now();
+    drive(fleet, "d1-pre-orders", "/report", 1500, 4s);
+    drive(fleet, "d1-pre-orders", "/pay", 400, 4s);
+    fleet.run_for(5s);
+    const double critical = good_share(fleet, begin + 1s, fleet.now(), "/pay").share();
+    const double deferrable = good_share(fleet, begin + 1s, fleet.now(), "/report").share();
+    ASSERT_SEED(critical > 0.97, seed);
+    ASSERT_SEED(deferrable < critical, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(load, retries_stay_within_their_budget) {
+  test_fleet fleet(1);
+  add_van_daemons(fleet, {"d1", "d2"}, {.slots = 2, .cold_slots = 2, .latency = 20ms});
+  start_van_mesh(fleet);
+  drive(fleet, "d1-pre-orders", "/menu", 1500, 4s);
+  fleet.run_for(5s);
+  const statistics& totals = fleet.daemon("d1-pre-orders").totals();
+  cr_assert_leq(totals.retries, 6000 * 0.1 + 10);
+  assert_no_violations(fleet, 1);
+}
+
+Test(domains, a_withdrawn_domain_gets_no_new_work_and_the_rest_is_served) {
+  for_each_seed(4, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2", "d3"}, cold_upstream);
+    start_van_mesh(fleet);
+    warm_up(fleet, {"d1-pre-orders", "d2-pre-orders", "d3-pre-orders"});
+    const time_point begin = fleet.now();
+    for (const std::string via : {"d1-pre-orders", "d2-pre-orders", "d3-pre-orders"}) {
+      drive(fleet, via, "/menu", 200, 20s);
+    }
+    fleet.at(begin + 1s, [&] { fleet.send_command("d2-menu", "withdraw d1"); });
+    fleet.run_for(4s);
+    const std::size_t runs = fleet.upstream("d1-menu").runs_by_body.size();
+    fleet.run_for(4s);
+    ASSERT_SEED(fleet.upstream("d1-menu").runs_by_body.size() == runs, seed);
+    fleet.upstream("d1-menu").make_cold();
+    fleet.send_command("d2-menu", "return d1");
+    fleet.run_for(13s);
+    ASSERT_SEED(fleet.upstream("d1-menu").runs_by_body.size() > runs + 200, seed);
+    ASSERT_SEED(good_share(fleet, begin, begin + 20s).share() > 0.98, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(domains, a_cut_off_domain_obeys_a_withdrawal_that_any_peer_brings) {
+  for_each_seed(4, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2", "d3"});
+    start_van_mesh(fleet);
+    fleet.cut_log("d3");
+    fleet.cut("d3", "d1"); // d3 hears d2 only
+    fleet.run_for(2s);
+    cr_assert_eq(fleet.ask("d1-menu", "withdraw d3").result, "accepted");
+    fleet.run_for(4s);
+    const std::size_t runs = fleet.upstream("d3-menu").runs_by_body.size();
+    drive(fleet, "d3-pre-orders", "/menu", 50, 2s);
+    fleet.run_for(3s);
+    ASSERT_SEED(fleet.upstream("d3-menu").runs_by_body.size() == runs, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
+
+Test(poison, a_crashing_request_sent_again_and_again_kills_a_bounded_number) {
+  for_each_seed(6, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    for (int i = 0; i < 6; ++i) {
+      fleet.add("m" + std::to_string(i), "d1", "menu", "v1");
+    }
+    start_van_mesh(fleet);
+    const time_point begin = fleet.now();
+    drive(fleet, "m0", "/menu", 100, 20s);
+    for (int i = 0; i < 40; ++i) {
+      fleet.at(begin + 500ms * i,
+               [&fleet, i] { fleet.call("m" + std::to_string(i % 6), "/menu", "crash", 400ms); });
+      fleet.at(begin + 500ms * i + 400ms, [&fleet] {
+        for (const std::string& name : fleet.names()) {
+          if (!fleet.upstream(name).is_listening) {
+            fleet.revive_upstream(name);
+          }
+        }
+      });
+    }
+    fleet.run_for(21s);
+    ASSERT_SEED(fleet.upstream_deaths() == 2, seed);
+    ASSERT_SEED(good_share(fleet, begin + 3s, fleet.now(), "/menu").share() > 0.95, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
--- a/src/arbutuslb/core/engine/membership_service.cc
+++ b/src/arbutuslb/core/engine/membership_service.cc
@@ -63,7 +63,12 @@
 }
 
 void membership_service::on_message(const protocol::message& value) {
-  last_heard_[value.sender.domain] = shared_.now;
+  shared_.note_heard(value.sender.domain, shared_.now);
+  if (value.sender.domain == shared_.settings.domain) {
+    for (const protocol::domain_age& heard : value.held.domains) {
+      shared_.note_heard(heard);
+    }
+  }
   shared_.learn(value.sender);
   for (const member& update : value.updates) {
     shared_.learn(update);
@@ -314,12 +319,4 @@
   }
 }
 
-std::optional<time_point> membership_service::last_heard(const std::string& domain) const {
-  const std::map<std::string, time_point>::const_iterator found = last_heard_.find(domain);
-  if (found == last_heard_.end()) {
-    return std::nullopt;
-  }
-  return found->second;
-}
-
 } // namespace arbutuslb::core::engine
--- a/src/arbutuslb/core/engine/membership_service.h
+++ b/src/arbutuslb/core/engine/membership_service.h
@@ -42,8 +42,6 @@
   // Announces that this daemon leaves.
   void leave();
 
-  // When anything was last heard from the domain; nothing if never.
-  std::optional<time_point> last_heard(const std::string& domain) const;
   bool is_isolated() const noexcept { return detector_.is_isolated(); }
 
 private:
@@ -71,7 +69,6 @@
   std::uint64_t announcement_read_ = 0;
   std::vector<peer_address> announced_;
   std::optional<peer_address> differing_peer_;
-  std::map<std::string, time_point> last_heard_;
 };
 
 // The form of a member in the announcement stream.
--- /dev/null
+++ b/src/arbutuslb/core/engine/membership_test.cc
@@ -0,0 +1,107 @@
+// Herds, restarts, cuts and deaths as the member table sees them.
+
+#include "arbutuslb/core/engine/test_support.h"
+
+namespace {
+
+using namespace arbutuslb;
+using namespace arbutuslb::core;
+using namespace arbutuslb::core::engine;
+using namespace arbutuslb::core::engine::testing;
+using membership::member_status;
+
+bool knows_all(test_fleet& fleet, std::size_t count) {
+  for (const std::string& name : fleet.names()) {
+    if (fleet.is_running(name) && fleet.daemon(name).members().present().size() != count) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+Test(membership, daemons_of_all_domains_find_each_other) {
+  for_each_seed(4, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2", "d3"});
+    ASSERT_SEED(fleet.run_until([&] { return knows_all(fleet, 6); }, 10s), seed);
+  });
+}
+
+Test(membership, a_fresh_process_finds_peers_through_the_log_when_no_seed_runs) {
+  test_fleet fleet(1);
+  add_van_daemons(fleet, {"d1", "d2"});
+  fleet.run_for(5s);
+  fleet.kill("d1-menu"); // the first two addresses are the seeds
+  fleet.kill("d1-pre-orders");
+  fleet.run_for(20s);
+  fleet.add("d2-late", "d2", "menu", "v1");
+  cr_assert(fleet.run_until(
+      [&] { return fleet.daemon("d2-late").members().present_in("d2").size() == 3; }, 15s));
+}
+
+Test(membership, the_dead_are_noticed_and_a_new_process_beats_the_old_one) {
+  for_each_seed(4, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    add_van_daemons(fleet, {"d1", "d2", "d3"});
+    start_van_mesh(fleet);
+    fleet.kill("d2-menu");
+    ASSERT_SEED(fleet.run_until([&] { return knows_all(fleet, 5); }, 20s), seed);
+    fleet.restart("d2-menu");
+    ASSERT_SEED(fleet.run_until([&] { return knows_all(fleet, 6); }, 10s), seed);
+  });
+}
+
+Test(membership, a_member_that_is_cut_off_removes_nobody) {
+  for_each_seed(4, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    for (int i = 0; i < 8; ++i) {
+      fleet.add("m" + std::to_string(i), "d1", "menu", "v1");
+    }
+    start_van_mesh(fleet);
+    fleet.link.datagram_loss = 1.0;
+    fleet.link.stream_loss = 1.0;
+    fleet.run_for(60s);
+    std::size_t present = 0;
+    for (const std::string& name : fleet.names()) {
+      present += fleet.daemon(name).members().present().size();
+    }
+    // All links are down: each may have accused a few before it understood.
+    ASSERT_SEED(present >= 8 * 5, seed);
+    fleet.link.datagram_loss = 0.0;
+    fleet.link.stream_loss = 0.0;
+    ASSERT_SEED(fleet.run_until([&] { return knows_all(fleet, 8); }, 30s), seed);
+  });
+}
+
+Test(membership, half_of_all_daemons_die_and_return_together) {
+  for_each_seed(3, [](std::uint64_t seed) {
+    test_fleet fleet(seed);
+    for (const std::string domain : {"d1", "d2"}) {
+      for (int i = 0; i < 10; ++i) {
+        fleet.add(domain + "-" + std::to_string(i), domain, "menu", "v1");
+      }
+    }
+    start_van_mesh(fleet);
+    const time_point begin = fleet.now();
+    drive(fleet, "d1-1", "/menu", 100, 30s);
+    fleet.run_for(1s);
+    for (const std::string domain : {"d1", "d2"}) {
+      for (int i = 0; i < 10; i += 2) {
+        fleet.kill(domain + "-" + std::to_string(i));
+      }
+    }
+    fleet.run_for(12s);
+    for (const std::string domain : {"d1", "d2"}) {
+      for (int i = 0; i < 10; i += 2) {
+        fleet.restart(domain + "-" + std::to_string(i));
+      }
+    }
+    const bool is_known =
+        fleet.run_until([&] { return knows_all(fleet, 20) && fleet.all_at(1); }, 15s);
+    ASSERT_SEED(is_known, seed);
+    ASSERT_SEED(good_share(fleet, begin + 10s, fleet.now() - 1s).share() > 0.99, seed);
+    assert_no_violations(fleet, seed);
+  });
+}
--- a/src/arbutuslb/core/engine/operator_service.cc
+++ b/src/arbutuslb/core/engine/operator_service.cc
@@ -31,10 +31,8 @@
 } // namespace
 
 operator_service::operator_service(context& shared, distributor& distribution,
-                                   membership_service& membership, command_writer& writer,
-                                   move_conductor& conductor)
-    : shared_(shared), distribution_(distribution), membership_(membership), writer_(writer),
-      conductor_(conductor) {}
+                                   command_writer& writer, move_conductor& conductor)
+    : shared_(shared), distribution_(distribution), writer_(writer), conductor_(conductor) {}
 
 void operator_service::answer(std::uint64_t token, report value) {
   const int code = static_cast<int>(value.code);
@@ -172,7 +170,7 @@
   if (domain == shared_.settings.domain) {
     return "here";
   }
-  const std::optional<time_point> heard = membership_.last_heard(domain);
+  const std::optional<time_point> heard = shared_.last_heard(domain);
   return heard ? seconds_text(shared_.now - *heard) + " ago" : "never";
 }
 
--- a/src/arbutuslb/core/engine/operator_service.h
+++ b/src/arbutuslb/core/engine/operator_service.h
@@ -3,7 +3,6 @@
 
 #include "arbutuslb/core/engine/command_writer.h"
 #include "arbutuslb/core/engine/distributor.h"
-#include "arbutuslb/core/engine/membership_service.h"
 #include "arbutuslb/core/engine/move_conductor.h"
 #include "arbutuslb/core/operators/language.h"
 #include "arbutuslb/core/operators/report.h"
@@ -20,8 +19,8 @@
 // Not thread-safe.
 class operator_service {
 public:
-  operator_service(context& shared, distributor& distribution, membership_service& membership,
-                   command_writer& writer, move_conductor& conductor);
+  operator_service(context& shared, distributor& distribution, command_writer& writer,
+                   move_conductor& conductor);
 
   void on_asked(const operator_asked& asked);
   void on_settled(const settled_command& settled);
@@ -73,7 +72,6 @@
 
   context& shared_;
   distributor& distribution_;
-  membership_service& membership_;
   command_writer& writer_;
   move_conductor& conductor_;
   std::map<std::string, std::vector<pending_command>> commands_; // by command id
--- a/src/arbutuslb/core/engine/upstream_gate.cc
+++ b/src/arbutuslb/core/engine/upstream_gate.cc
@@ -62,6 +62,9 @@
   if (shared_.is_stopping) {
     return "upstream is leaving";
   }
+  if (!shared_.is_ready) {
+    return "no configuration yet";
+  }
   if (request.service != shared_.settings.service || request.version != shared_.settings.version) {
     return "no such upstream here";
   }
@@ -91,11 +94,8 @@
     reply(origin, std::move(answer));
     return;
   }
-  if (!request.idempotent && !seen_.admit(request.id)) {
-    return;
-  }
-  if (numbers_.contains(request.id)) {
-    return;
+  if (!seen_.admit(request.id)) {
+    return; // the first copy answers, and only it can say whether the call ran
   }
   const std::string reason = reason_to_refuse(request);
   if (!reason.empty()) {
--- a/src/arbutuslb/core/engine/upstream_gate.h
+++ b/src/arbutuslb/core/engine/upstream_gate.h
@@ -1,8 +1,8 @@
 // The side beside the upstream: admits calls, runs them, answers, and says "not run" only when it
 // knows.
 //
-// Every call that is offered ends in exactly one reply, unless it is a repeat of a non-idempotent
-// call that was taken before, which is dropped in silence.
+// Every call that is offered ends in exactly one reply, unless it is a repeat of a message that was
+// taken before, which is dropped in silence.
 #pragma once
 
 #include "arbutuslb/core/calls/duplicate_filter.h"
--- a/src/arbutuslb/core/membership/failure_detector.h
+++ b/src/arbutuslb/core/membership/failure_detector.h
@@ -29,18 +29,18 @@
 // Send a ping to `target`.
 struct direct_probe {
   member_id target;
-  std::uint64_t sequence;
+  std::uint64_t sequence = 0;
 };
 // Ask `helper` to ping `target`.
 struct indirect_probe {
   member_id helper;
   member_id target;
-  std::uint64_t sequence;
+  std::uint64_t sequence = 0;
 };
 // The member's status is to become `status` in its present life.
 struct status_change {
   member_id target;
-  member_status status;
+  member_status status = member_status::suspect;
 };
 using probe_step = std::variant<direct_probe, indirect_probe, status_change>;
 
--- a/src/arbutuslb/core/moves/evidence.cc
+++ b/src/arbutuslb/core/moves/evidence.cc
@@ -58,7 +58,17 @@
 }
 
 void evidence_pool::merge(member_id sender, incarnation boot, const evidence_report& report) {
-  reports_[source{sender, boot}] = report;
+  const auto calls_in = [](const evidence_report& value) {
+    std::uint64_t calls = 0;
+    for (const evidence_cell& cell : value.cells) {
+      calls += cell.calls + cell.deaths;
+    }
+    return calls;
+  };
+  evidence_report& known = reports_[source{sender, boot}];
+  if (calls_in(report) >= calls_in(known)) {
+    known = report; // totals only grow, so a smaller one is older
+  }
 }
 
 std::map<std::string, cell_totals> evidence_pool::totals(const std::string& version,
--- a/src/arbutuslb/core/moves/judge.cc
+++ b/src/arbutuslb/core/moves/judge.cc
@@ -10,7 +10,7 @@
 
 // Standard deviations that a difference must stand out by. Each of the two intervals compared is
 // this wide.
-constexpr double confidence_z = 2.6;
+constexpr double confidence_z = 3.0;
 constexpr double latency_z = 4.0;
 // The part of calls that may be slower than the old version's slow calls before it is a fault.
 constexpr double max_slow_increase = 0.10;
@@ -34,6 +34,9 @@
 }
 
 std::string error_fault(const comparison& of) {
+  if (of.after.errors < min_errors) {
+    return {};
+  }
   const proportion_interval before =
       wilson_interval(of.before.errors, of.before.calls, confidence_z);
   const proportion_interval after = wilson_interval(of.after.errors, of.after.calls, confidence_z);
@@ -188,17 +191,25 @@
 
 // Returns the route that lacks calls, or an empty string.
 std::string route_without_evidence(const move& value, const evidence_pool& pool) {
-  const int start = comparison_start(value);
-  const std::map<std::string, cell_totals> after = pool.totals(value.to, start);
-  const std::map<std::string, cell_totals> before = pool.totals(value.from, 0);
-  for (const auto& [route, cell] : before) {
-    const std::map<std::string, cell_totals>::const_iterator found = after.find(route);
+  std::uint64_t calls_at_step = 0;
+  for (const auto& [route, cell] : pool.totals(value.to, comparison_start(value))) {
+    calls_at_step += cell.calls;
+  }
+  if (calls_at_step < min_step_calls) {
+    return "any route";
+  }
+  if (value.share_permille < route_evidence_permille) {
+    return {};
+  }
+  const totals_by_route after = pool.totals(value.to, 0);
+  for (const auto& [route, cell] : pool.totals(value.from, 0)) {
+    const totals_by_route::const_iterator found = after.find(route);
     const std::uint64_t calls = found == after.end() ? 0 : found->second.calls;
     if (cell.calls >= min_route_calls && calls < min_step_calls) {
       return route;
     }
   }
-  return after.empty() ? "any route" : "";
+  return {};
 }
 
 int next_share(int share) {
--- a/src/arbutuslb/core/moves/judge.h
+++ b/src/arbutuslb/core/moves/judge.h
@@ -18,10 +18,15 @@
 // version to compare with, and is watched longer.
 inline constexpr std::array<int, 6> share_steps_permille{10, 50, 150, 400, 900, 1000};
 inline constexpr int watched_share_permille = 900;
-// Calls that a route's new version must have run at a step before the next step.
+// Calls that the new version must have run at a step before the next step.
 inline constexpr std::uint64_t min_step_calls = 30;
-// Calls of the old version at a step below which a route counts as without traffic.
+// From this share on, each route with traffic must have had `min_step_calls` in the whole move
+// before the next step.
+inline constexpr int route_evidence_permille = 150;
+// Calls of the old version below which a route counts as without traffic.
 inline constexpr std::uint64_t min_route_calls = 10;
+// Errors below which nothing is concluded.
+inline constexpr std::uint64_t min_errors = 3;
 inline constexpr std::chrono::seconds min_step_time{2};
 
 enum class judgement_kind : std::uint8_t { wait, brake, step, done };
--- /dev/null
+++ b/src/arbutuslb/core/moves/judge_test.cc
@@ -0,0 +1,130 @@
+#include "arbutuslb/core/moves/judge.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace arbutuslb::core;
+using namespace arbutuslb::core::moves;
+
+const time_point start{std::chrono::hours{24}};
+
+config::move menu_move(int share) {
+  config::move value;
+  value.id = 2;
+  value.service = "menu";
+  value.from = "v1";
+  value.to = "v2";
+  value.started = start;
+  value.by = start + std::chrono::minutes{2};
+  value.share_permille = share;
+  return value;
+}
+
+protocol::evidence_report report_of(const std::string& version, int share, std::uint64_t calls,
+                                    std::uint64_t errors, std::size_t bucket) {
+  protocol::evidence_cell cell;
+  cell.route = "menu";
+  cell.share_permille = share;
+  cell.calls = calls;
+  cell.errors = errors;
+  cell.latency[bucket] = calls;
+  return {2, version, {cell}, 10.0, 2.0};
+}
+
+judgement judge_with(const protocol::evidence_report& before,
+                     const protocol::evidence_report& after, int share, duration in_step) {
+  evidence_pool pool;
+  pool.merge({1}, {1}, before);
+  pool.merge({2}, {1}, after);
+  return judge_move(menu_move(share), pool, 0, start, start + in_step);
+}
+
+} // namespace
+
+Test(judge, first_step_is_small) {
+  const judgement verdict = judge_with(report_of("v1", 0, 100, 0, 4), report_of("v2", 0, 0, 0, 4),
+                                       0, std::chrono::seconds{1});
+  cr_assert_eq(verdict.kind, judgement_kind::step);
+  cr_assert_eq(verdict.share_permille, share_steps_permille.front());
+}
+
+Test(judge, a_step_needs_time_and_evidence) {
+  const protocol::evidence_report old = report_of("v1", 10, 1000, 5, 4);
+  cr_assert_eq(judge_with(old, report_of("v2", 10, 100, 0, 4), 10, std::chrono::seconds{1}).kind,
+               judgement_kind::wait);
+  cr_assert_eq(judge_with(old, report_of("v2", 10, 5, 0, 4), 10, std::chrono::minutes{1}).kind,
+               judgement_kind::wait);
+  cr_assert_eq(judge_with(old, report_of("v2", 10, 100, 0, 4), 10, std::chrono::minutes{1}).kind,
+               judgement_kind::step);
+}
+
+Test(judge, errors_and_latency_beyond_chance_take_the_move_back) {
+  const protocol::evidence_report old = report_of("v1", 50, 1000, 5, 4);
+  const duration moment = std::chrono::seconds{1};
+  cr_assert_eq(judge_with(old, report_of("v2", 50, 12, 12, 4), 50, moment).kind,
+               judgement_kind::brake);
+  cr_assert_eq(judge_with(old, report_of("v2", 50, 60, 0, 9), 50, moment).kind,
+               judgement_kind::brake);
+}
+
+Test(judge, a_few_unlucky_calls_do_not_take_a_good_version_back) {
+  const protocol::evidence_report old = report_of("v1", 50, 1000, 20, 4);
+  const duration moment = std::chrono::seconds{1};
+  cr_assert_neq(judge_with(old, report_of("v2", 50, 4, 2, 4), 50, moment).kind,
+                judgement_kind::brake);
+  cr_assert_neq(judge_with(old, report_of("v2", 50, 40, 3, 5), 50, moment).kind,
+                judgement_kind::brake);
+}
+
+Test(judge, stated_time_that_passes_without_full_share_takes_the_move_back) {
+  const judgement verdict = judge_with(report_of("v1", 10, 1000, 0, 4),
+                                       report_of("v2", 10, 3, 0, 4), 10, std::chrono::minutes{3});
+  cr_assert_eq(verdict.kind, judgement_kind::brake);
+  cr_assert(verdict.reason.find("stated time") != std::string::npos);
+}
+
+Test(judge, a_move_that_cannot_be_in_time_says_so_early) {
+  evidence_pool pool;
+  pool.merge({1}, {1}, report_of("v1", 10, 1000, 0, 4));
+  pool.merge({2}, {1}, report_of("v2", 10, 3, 0, 4));
+  const judgement verdict =
+      judge_move(menu_move(10), pool, 0, start, start + std::chrono::seconds{80});
+  cr_assert_eq(verdict.kind, judgement_kind::wait);
+  cr_assert(verdict.is_late);
+  cr_assert(verdict.reason.find("too few calls") != std::string::npos);
+}
+
+Test(judge, share_does_not_pass_what_the_new_version_bears) {
+  evidence_pool pool;
+  protocol::evidence_report old = report_of("v1", 150, 5000, 0, 4);
+  old.mean_in_flight = 80;
+  protocol::evidence_report fresh = report_of("v2", 150, 500, 0, 4);
+  fresh.limit = 5;
+  pool.merge({1}, {1}, old);
+  pool.merge({2}, {1}, fresh);
+  const judgement verdict =
+      judge_move(menu_move(150), pool, 0, start, start + std::chrono::minutes{1});
+  cr_assert_eq(verdict.kind, judgement_kind::wait);
+  cr_assert(verdict.reason.find("capacity") != std::string::npos);
+}
+
+Test(judge, deaths_by_known_poison_requests_do_not_count) {
+  evidence_pool pool;
+  protocol::evidence_report fresh = report_of("v2", 50, 500, 0, 4);
+  fresh.cells[0].deaths = 4;
+  pool.merge({1}, {1}, report_of("v1", 50, 1000, 0, 4));
+  pool.merge({2}, {1}, fresh);
+  const time_point now = start + std::chrono::seconds{1};
+  cr_assert_eq(judge_move(menu_move(50), pool, 0, start, now).kind, judgement_kind::brake);
+  cr_assert_neq(judge_move(menu_move(50), pool, 1, start, now).kind, judgement_kind::brake);
+}
+
+Test(evidence, repeated_and_crossed_reports_count_once) {
+  evidence_pool pool;
+  pool.merge({1}, {1}, report_of("v2", 50, 100, 1, 4));
+  pool.merge({1}, {1}, report_of("v2", 50, 100, 1, 4));
+  pool.merge({1}, {1}, report_of("v2", 50, 60, 1, 4));
+  pool.merge({1}, {2}, report_of("v2", 50, 10, 0, 4));
+  cr_assert_eq(pool.totals("v2", 0)["menu"].calls, 110U);
+}
--- a/src/arbutuslb/core/protocol/messages.h
+++ b/src/arbutuslb/core/protocol/messages.h
@@ -16,19 +16,27 @@
 namespace arbutuslb::core::protocol {
 
 // The longest body of a call or an answer, in bytes.
-inline constexpr std::size_t max_body_bytes = 1024 * 1024;
+inline constexpr std::size_t max_body_bytes = std::size_t{1024} * 1024;
 // The longest message on the stream channel, in bytes.
-inline constexpr std::size_t max_stream_bytes = 4 * 1024 * 1024;
+inline constexpr std::size_t max_stream_bytes = std::size_t{4} * 1024 * 1024;
 // The longest message on the datagram channel, in bytes.
 inline constexpr std::size_t max_datagram_bytes = 1400;
 
+// How long ago anything was heard from a failure domain, by any member of the sender's domain.
+struct domain_age {
+  std::uint32_t domain_hash = 0;
+  duration age{};
+  friend bool operator==(const domain_age&, const domain_age&) = default;
+};
+
 // What the sender holds.
 struct digest {
   config_version version = 0;
   std::uint64_t state_hash = 0;
   // How long ago the sender's knowledge was known to be the end of the log.
   duration log_age{};
-  std::uint64_t fleet_hash = 0; // of the members of all domains
+  std::uint64_t fleet_hash = 0;    // of the members of all domains
+  std::vector<domain_age> domains; // on probes only
   friend bool operator==(const digest&, const digest&) = default;
 };
 
--- a/src/arbutuslb/core/routing/adaptive_limit.h
+++ b/src/arbutuslb/core/routing/adaptive_limit.h
@@ -62,6 +62,7 @@
   static constexpr double slow_window = 8.0;
   static constexpr double cold_slow_share = 0.5;
   static constexpr double shrink_factor = 0.8;
+  static constexpr double growth = 0.5; // for each limit's worth of good answers
   static constexpr double in_use_fraction = 0.7;
   static constexpr double fall_rate = 0.2;
   static constexpr double rise_rate = 0.002;
@@ -90,10 +91,10 @@
   }
 
   void grow(int in_flight) {
-    if (in_flight < limit_ * in_use_fraction) {
+    if (in_flight < whole() * in_use_fraction) {
       return;
     }
-    limit_ = std::min(static_cast<double>(slots_), limit_ + 1.0 / limit_);
+    limit_ = std::min(static_cast<double>(slots_), limit_ + growth / limit_);
   }
 
   int slots_;
--- a/src/arbutuslb/core/routing/admission.h
+++ b/src/arbutuslb/core/routing/admission.h
@@ -35,7 +35,7 @@
   explicit admission(int slots) : limit_(slots) {}
 
   struct offer_result {
-    admission_verdict verdict;
+    admission_verdict verdict = admission_verdict::refused;
     std::optional<waiting_request> shed; // a queued request of a lower class that lost its place
   };
 
--- a/src/arbutuslb/core/routing/endpoint_directory.cc
+++ b/src/arbutuslb/core/routing/endpoint_directory.cc
@@ -64,6 +64,12 @@
       by_domain[value->domain].push_back(value);
     }
   }
+  const auto is_unreachable = [this](const auto& item) {
+    return unreachable_.contains(item.first);
+  };
+  if (!std::all_of(by_domain.begin(), by_domain.end(), is_unreachable)) {
+    std::erase_if(by_domain, is_unreachable);
+  }
   const std::size_t remote_domains = by_domain.size() - by_domain.count(own_domain_);
   const std::size_t share =
       remote_domains == 0 ? 0 : std::max<std::size_t>(1, remote_subset_size / remote_domains);
--- a/src/arbutuslb/core/routing/endpoint_directory.h
+++ b/src/arbutuslb/core/routing/endpoint_directory.h
@@ -13,6 +13,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace arbutuslb::core::routing {
@@ -51,6 +52,14 @@
     subsets_.clear();
   }
 
+  // Endpoints in these domains are chosen only if there are no others.
+  void set_unreachable(const std::set<std::string>& domains) {
+    if (domains != unreachable_) {
+      unreachable_ = domains;
+      subsets_.clear();
+    }
+  }
+
   // Endpoints with statistics.
   std::size_t size() const noexcept { return known_.size(); }
 
@@ -74,6 +83,7 @@
 
   member_id self_;
   std::string own_domain_;
+  std::set<std::string> unreachable_;
   std::uint64_t generation_ = 0;
   config_version version_ = 0;
   std::unordered_map<std::string, subset> subsets_; // by service and version
--- a/src/arbutuslb/core/routing/endpoint_stats.h
+++ b/src/arbutuslb/core/routing/endpoint_stats.h
@@ -25,12 +25,18 @@
     refusals_ = 0;
   }
 
-  // The upstream's daemon refused: leave it alone for a moment, longer with each refusal in a row.
-  void on_refused(time_point now, duration pause) {
+  // The upstream is at its limit: leave it alone for a moment.
+  void on_busy(time_point now, duration pause) {
     finish();
+    refusing_until_ = std::max(refusing_until_, now + pause);
+  }
+
+  // The upstream's daemon refused for another reason than its limit: leave it alone for longer with
+  // each refusal in a row.
+  void on_refused(time_point now, duration pause) {
     const int doublings = std::min(refusals_, max_doublings);
     ++refusals_;
-    refusing_until_ = std::max(refusing_until_, now + pause * (1 << doublings));
+    on_busy(now, pause * (1 << doublings));
   }
 
   // No answer, or an answer that shows a fault of the upstream.
--- /dev/null
+++ b/src/arbutuslb/fakes/model_upstream.h
@@ -0,0 +1,83 @@
+// A small model of an upstream on a paused clock: slots, cold start, faults, death.
+//
+// Up to its capacity it answers at its base latency; beyond it latency grows with the square of the
+// load, and far beyond it requests fail. A cold upstream has a small capacity that grows with the
+// requests that it has served.
+#pragma once
+
+#include "arbutuslb/core/base/random.h"
+#include "arbutuslb/core/protocol/messages.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace arbutuslb::fakes {
+
+struct model_upstream_settings {
+  double slots = 10;
+  double cold_slots = 10;
+  double warm_up_requests = 300;
+  core::duration latency = std::chrono::milliseconds{4};
+  double error_rate = 0.0;
+  double slow_rate = 0.0; // the part of requests that take `slow_factor` times as long
+  double slow_factor = 10.0;
+  std::string faulty_path; // errors and slowness only on paths with this prefix
+  double fault_load = 0.0; // errors and slowness only from this many requests at once
+};
+
+// Not thread-safe.
+class model_upstream {
+public:
+  struct plan {
+    core::duration latency{};
+    int status = 200;
+  };
+
+  model_upstream_settings settings;
+  bool is_listening = true;
+  int in_flight = 0;
+  double served_since_cold = 0;
+  std::map<std::string, int> runs_by_key;
+  std::map<std::string, int> runs_by_body;
+
+  double capacity() const {
+    const double warmth = std::min(1.0, served_since_cold / settings.warm_up_requests);
+    return settings.cold_slots + (settings.slots - settings.cold_slots) * warmth;
+  }
+
+  void make_cold() { served_since_cold = 0; }
+
+  // Starts a request and returns how it will end.
+  plan start(const core::protocol::call_content& content, core::random_source& random) {
+    ++in_flight;
+    ++runs_by_body[content.body];
+    if (!content.key.empty()) {
+      ++runs_by_key[content.key];
+    }
+    const double load = in_flight / capacity();
+    const bool is_faulty =
+        content.path.compare(0, settings.faulty_path.size(), settings.faulty_path) == 0 &&
+        in_flight >= settings.fault_load;
+    const double spread = 0.8 + 0.4 * random.fraction();
+    double factor = spread * std::max(1.0, load * load);
+    if (is_faulty && random.fraction() < settings.slow_rate) {
+      factor *= settings.slow_factor;
+    }
+    constexpr double collapse_load = 3.0;
+    constexpr int status_error = 500;
+    constexpr int status_ok = 200;
+    const bool fails =
+        load > collapse_load || (is_faulty && random.fraction() < settings.error_rate);
+    return {core::duration{static_cast<core::duration::rep>(
+                factor * static_cast<double>(settings.latency.count()))},
+            fails ? status_error : status_ok};
+  }
+
+  void finish() {
+    --in_flight;
+    ++served_since_cold;
+  }
+};
+
+} // namespace arbutuslb::fakes
--- a/src/arbutuslb/runtime/log_client.cc
+++ b/src/arbutuslb/runtime/log_client.cc
@@ -74,9 +74,9 @@
     const httplib::Result result =
         client->Post("/streams/" + action.stream + "/records", action.record, "application/json");
     log_appended appended{action.request, append_result::unknown, 0};
-    if (result.error() == httplib::Error::Connection) {
-      appended.result = append_result::refused;
-    } else if (result && result->status == status_unavailable) {
+    const bool is_refused = result.error() == httplib::Error::Connection ||
+                            (result && result->status == status_unavailable);
+    if (is_refused) {
       appended.result = append_result::refused;
     } else if (result && result->status == status_ok) {
       const core::json document = core::json::parse(result->body, nullptr, false);
--- a/src/arbutuslb/runtime/wire/codec.cc
+++ b/src/arbutuslb/runtime/wire/codec.cc
@@ -408,6 +408,11 @@
   out.mutable_held()->set_state_hash(value.held.state_hash);
   out.mutable_held()->set_log_age(value.held.log_age.count());
   out.mutable_held()->set_fleet_hash(value.held.fleet_hash);
+  for (const protocol::domain_age& heard : value.held.domains) {
+    DomainAge& to = *out.mutable_held()->add_domains();
+    to.set_domain_hash(heard.domain_hash);
+    to.set_age(heard.age.count());
+  }
   for (const member& update : value.updates) {
     put(update, *out.add_updates());
   }
@@ -428,8 +433,14 @@
   }
   protocol::message value;
   value.sender = take(in.sender());
-  value.held = {in.held().version(), in.held().state_hash(), duration{in.held().log_age()},
-                in.held().fleet_hash()};
+  value.held = {in.held().version(),
+                in.held().state_hash(),
+                duration{in.held().log_age()},
+                in.held().fleet_hash(),
+                {}};
+  for (const DomainAge& heard : in.held().domains()) {
+    value.held.domains.push_back({heard.domain_hash(), duration{heard.age()}});
+  }
   for (const Member& update : in.updates()) {
     value.updates.push_back(take(update));
   }
