--- /dev/null
+++ b/src/arbutuslb/core/moves/judge_benchmark.cc
@@ -0,0 +1,181 @@
+// The judge of moves beside its baseline, over many seeds against model versions: time to take a
+// bad version back, calls lost to it, false take-backs of good versions, and moves done in time.
+
+#include "arbutuslb/bench/bench.h"
+#include "arbutuslb/core/base/random.h"
+#include "arbutuslb/core/moves/judge.h"
+
+#include <cmath>
+
+namespace arbutuslb::bench {
+namespace {
+
+using namespace core;
+using namespace core::moves;
+using namespace std::chrono_literals;
+
+// A fault of the new version.
+struct fault_model {
+  std::string name;
+  double error_rate = 0;
+  double slow_factor = 1.0;   // of the latency
+  duration begins{};          // after the start of the move
+  int from_share = 0;         // shows only from this share on
+  bool one_route = false;     // shows only on the route with the least traffic
+  bool is_bad = true;
+};
+
+struct traffic {
+  std::string name;
+  double calls_per_second;
+  double base_error_rate;
+  double latency_ms;
+  duration length;
+};
+
+struct outcome {
+  bool taken_back = false;
+  bool done = false;
+  duration ended{};
+  std::uint64_t bad_calls = 0; // failed or slow calls of the new version
+  duration fault_shown{};      // when the fault first showed; zero if never
+};
+
+class move_run {
+public:
+  move_run(const fault_model& fault, const traffic& load, std::uint64_t seed)
+      : fault_(fault), load_(load), random_(seed) {
+    move_.id = 1;
+    move_.from = "v1";
+    move_.to = "v2";
+    move_.started = time_point{std::chrono::hours{24}};
+    move_.by = move_.started + load.length;
+  }
+
+  outcome run(bool baseline) {
+    outcome result;
+    time_point now = move_.started;
+    time_point step_since = now;
+    for (; now < move_.by + 30s; now += period) {
+      play(now - move_.started, result);
+      pool_.merge({1}, {1}, report_of("v1", old_));
+      pool_.merge({2}, {1}, report_of("v2", new_));
+      const judgement decided = baseline ? judge_move_at_once(move_, pool_, now)
+                                         : judge_move(move_, pool_, 0, step_since, now);
+      if ((now - move_.started) % 1s < period) {
+        pool_.mark(now);
+      }
+      if (decided.kind == judgement_kind::step) {
+        move_.share_permille = decided.share_permille;
+        step_since = now;
+      } else if (decided.kind == judgement_kind::brake || decided.kind == judgement_kind::done) {
+        result.taken_back = decided.kind == judgement_kind::brake;
+        result.done = !result.taken_back;
+        break;
+      }
+    }
+    result.ended = now - move_.started;
+    return result;
+  }
+
+private:
+  static constexpr duration period = 500ms;
+  static constexpr double route_shares[] = {0.7, 0.25, 0.05};
+
+  protocol::evidence_report report_of(const std::string& version, const evidence_counter& counter) {
+    return {1, version, counter.cells(), 1000.0, 1.0};
+  }
+
+  void play(duration elapsed, outcome& result) {
+    for (std::size_t route = 0; route < 3; ++route) {
+      const double calls = load_.calls_per_second * 0.5 * route_shares[route];
+      const double old_share = 1.0 - move_.share_permille / 1000.0;
+      play_calls(old_, route, random_count(calls * old_share), false, result, elapsed);
+      const bool shows = elapsed >= fault_.begins && move_.share_permille >= fault_.from_share &&
+                         (!fault_.one_route || route == 2);
+      play_calls(new_, route, random_count(calls * (1.0 - old_share)), shows && fault_.is_bad,
+                 result, elapsed);
+    }
+  }
+
+  int random_count(double mean) {
+    const int whole = static_cast<int>(mean);
+    return whole + (random_.fraction() < mean - whole ? 1 : 0);
+  }
+
+  void play_calls(evidence_counter& counter, std::size_t route, int calls, bool shows,
+                  outcome& result, duration elapsed) {
+    for (int i = 0; i < calls; ++i) {
+      const double errors = load_.base_error_rate + (shows ? fault_.error_rate : 0.0);
+      const bool is_error = random_.fraction() < errors;
+      const double spread = std::exp(0.5 * (random_.fraction() + random_.fraction() - 1.0));
+      const double latency = load_.latency_ms * spread * (shows ? fault_.slow_factor : 1.0);
+      counter.note("route-" + std::to_string(route), move_.share_permille,
+                   is_error ? run_outcome::error : run_outcome::good,
+                   duration{static_cast<duration::rep>(latency * 1000)});
+      if (shows) {
+        result.fault_shown = result.fault_shown == 0s ? elapsed : result.fault_shown;
+        result.bad_calls += is_error || fault_.slow_factor > 1.0 ? 1 : 0;
+      }
+    }
+  }
+
+  fault_model fault_;
+  traffic load_;
+  random_source random_;
+  config::move move_;
+  evidence_counter old_;
+  evidence_counter new_;
+  evidence_pool pool_;
+};
+
+void measure(const fault_model& fault, const traffic& load, std::uint64_t seeds, bool baseline) {
+  std::vector<double> seconds;
+  std::vector<double> bad_calls;
+  std::uint64_t taken_back = 0;
+  std::uint64_t done_in_time = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    const outcome result = move_run(fault, load, seed).run(baseline);
+    taken_back += result.taken_back ? 1 : 0;
+    done_in_time += result.done && result.ended <= load.length ? 1 : 0;
+    bad_calls.push_back(static_cast<double>(result.bad_calls));
+    if (result.taken_back) {
+      seconds.push_back(std::chrono::duration<double>(result.ended - result.fault_shown).count());
+    }
+  }
+  const double count = static_cast<double>(seeds);
+  report("move_" + fault.name, {{"traffic", load.name},
+                                {"policy", baseline ? "all_at_once" : "judge"},
+                                {"taken_back", figure(static_cast<double>(taken_back) / count)},
+                                {"done_in_time", figure(static_cast<double>(done_in_time) / count)},
+                                {"seconds_to_take_back_median", figure(quantile(seconds, 0.5))},
+                                {"seconds_to_take_back_max", figure(quantile(seconds, 1.0))},
+                                {"bad_calls_median", figure(quantile(bad_calls, 0.5))},
+                                {"bad_calls_max", figure(quantile(bad_calls, 1.0))},
+                                {"seeds", std::to_string(seeds)}});
+}
+
+} // namespace
+
+void run_move_benchmarks(const run_options& options) {
+  const std::uint64_t seeds = options.quick ? 20 : 300;
+  const traffic saigon{"saigon", 120, 0.01, 6, 120s};
+  const traffic amman{"amman", 60, 0.01, 25, 180s};
+  for (const traffic& load : {saigon, amman}) {
+    for (const fault_model& fault : {
+             fault_model{"good", 0, 1.0, 0s, 0, false, false},
+             fault_model{"fails_at_once", 1.0, 1.0, 0s, 0, false, true},
+             fault_model{"fails_one_in_ten", 0.1, 1.0, 0s, 0, false, true},
+             fault_model{"fails_later", 0.5, 1.0, 50s, 0, false, true},
+             fault_model{"fails_on_one_route", 0.5, 1.0, 0s, 0, true, true},
+             fault_model{"fails_under_load", 0.3, 1.0, 0s, 400, false, true},
+             fault_model{"slow", 0.0, 3.0, 0s, 0, false, true},
+             fault_model{"slow_under_load", 0.0, 2.5, 0s, 400, false, true},
+         }) {
+      measure(fault, load, seeds, true);
+      measure(fault, load, seeds, false);
+    }
+  }
+}
+
+} // namespace arbutuslb::bench
--- a/src/arbutuslb/fakes/test_fleet.cc
+++ b/src/arbutuslb/fakes/test_fleet.cc
@@ -39,6 +39,7 @@
   fresh.settings.version = version;
   fresh.settings.seeds = {{"10.0.0.1", 10001, 10001}, {"10.0.0.1", 10002, 10002}};
   fresh.upstream.settings = upstream;
+  names_by_address_[fresh.settings.address] = name;
   start(fresh);
 }
 
@@ -219,24 +220,27 @@
 }
 
 void test_fleet::send(const std::string& from, const engine::send_message& action) {
-  const process& source = processes_.at(from);
-  ++processes_.at(from).messages;
+  process& source = processes_.at(from);
+  const std::size_t size = size_of ? size_of(action.value) : 0;
+  source.bytes += size;
   const bool is_stream = action.via == engine::channel::stream;
   if (random_.fraction() < (is_stream ? link.stream_loss : link.datagram_loss)) {
     return;
   }
-  for (const auto& [name, target] : processes_) {
-    if (target.settings.address != action.to ||
-        is_cut(source.settings.domain, target.settings.domain)) {
-      continue;
-    }
-    const int copies = random_.fraction() < link.repeat ? 2 : 1;
-    for (int i = 0; i < copies; ++i) {
-      const duration delay = link.min_delay + random_.jitter(link.max_delay - link.min_delay);
-      // A restarted process gets what is still on its way to its address.
-      at(now_ + delay,
-         [this, to = name, value = action.value] { deliver(to, engine::peer_message{value}); });
-    }
+  const std::map<core::peer_address, std::string>::const_iterator found =
+      names_by_address_.find(action.to);
+  if (found == names_by_address_.end() ||
+      is_cut(source.settings.domain, processes_.at(found->second).settings.domain)) {
+    return;
+  }
+  processes_.at(found->second).bytes += size;
+  const int copies = random_.fraction() < link.repeat ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    const duration delay = link.min_delay + random_.jitter(link.max_delay - link.min_delay);
+    // A restarted process gets what is still on its way to its address.
+    at(now_ + delay, [this, to = found->second, value = action.value] {
+      deliver(to, engine::peer_message{value});
+    });
   }
 }
 
@@ -491,8 +495,8 @@
   return most;
 }
 
-std::uint64_t test_fleet::messages_from(const std::string& name) const {
-  return processes_.at(name).messages;
+std::uint64_t test_fleet::bytes_of(const std::string& name) const {
+  return processes_.at(name).bytes;
 }
 
 } // namespace arbutuslb::fakes
--- a/src/arbutuslb/fakes/test_fleet.h
+++ b/src/arbutuslb/fakes/test_fleet.h
@@ -65,6 +65,8 @@
 
   // --- faults ---
   link_settings link;
+  // Returns the size of a message on the wire; set it to count bytes.
+  std::function<std::size_t(const core::protocol::message&)> size_of;
   log_faults log;
   log_store store;
   void cut(const std::string& domain, const std::string& other);
@@ -108,8 +110,8 @@
   // The most runs of any key over all upstreams.
   int most_runs_of_a_key() const;
   int upstream_deaths() const noexcept { return upstream_deaths_; }
-  // Messages are counted by their sender.
-  std::uint64_t messages_from(const std::string& name) const;
+  // Bytes sent and received by the daemon's present and earlier processes.
+  std::uint64_t bytes_of(const std::string& name) const;
   core::random_source& random() noexcept { return random_; }
 
 private:
@@ -122,7 +124,7 @@
     std::vector<core::engine::event> waiting;     // while frozen
     core::config_version highest_version = 0;     // of the present process
     std::map<std::uint64_t, std::string> running; // bodies by execution
-    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
   };
   struct scheduled {
     core::time_point time;
@@ -155,6 +157,7 @@
   std::uint64_t next_token_ = 1;
   std::priority_queue<scheduled> queue_;
   std::map<std::string, process> processes_;
+  std::map<core::peer_address, std::string> names_by_address_;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::set<std::string> log_cuts_;
   std::map<std::uint64_t, call_record> calls_;
--- a/tools/lib.sh
+++ b/tools/lib.sh
@@ -48,8 +48,8 @@
   local id
   for id in "${process_ids[@]}"; do
     kill -9 "$id" 2>/dev/null || true
+    wait "$id" 2>/dev/null || true
   done
-  wait 2>/dev/null || true
   [ -z "$work_dir" ] || rm -rf "$work_dir"
 }
 
