--- a/src/arbutuslb/bench/bench.h
+++ b/src/arbutuslb/bench/bench.h
@@ -25,7 +25,8 @@
 double quantile(std::vector<double> values, double part);
 
 // Runs `body` `count` times and returns the mean time of one run in microseconds.
-template <typename Body> double mean_microseconds(int count, Body body) {
+template <typename Body>
+double mean_microseconds(int count, Body body) {
   const std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
   for (int i = 0; i < count; ++i) {
     body(i);
--- a/src/arbutuslb/bench/main.cc
+++ b/src/arbutuslb/bench/main.cc
@@ -37,9 +37,9 @@
 int main(int argc, char** argv) {
   using namespace arbutuslb::bench;
   const std::map<std::string, void (*)(const run_options&)> all{
-      {"config", run_config_benchmarks}, {"routing", run_routing_benchmarks},
+      {"config", run_config_benchmarks},   {"routing", run_routing_benchmarks},
       {"service", run_service_benchmarks}, {"moves", run_move_benchmarks},
-      {"calls", run_call_benchmarks}, {"fleet", run_fleet_benchmarks}};
+      {"calls", run_call_benchmarks},      {"fleet", run_fleet_benchmarks}};
   run_options options;
   std::vector<std::string> chosen;
   for (int i = 1; i < argc; ++i) {
--- a/src/arbutuslb/core/moves/judge_benchmark.cc
+++ b/src/arbutuslb/core/moves/judge_benchmark.cc
@@ -18,10 +18,10 @@
 struct fault_model {
   std::string name;
   double error_rate = 0;
-  double slow_factor = 1.0;   // of the latency
-  duration begins{};          // after the start of the move
-  int from_share = 0;         // shows only from this share on
-  bool one_route = false;     // shows only on the route with the least traffic
+  double slow_factor = 1.0; // of the latency
+  duration begins{};        // after the start of the move
+  int from_share = 0;       // shows only from this share on
+  bool one_route = false;   // shows only on the route with the least traffic
   bool is_bad = true;
 };
 
--- a/src/arbutuslb/core/routing/service_benchmark.cc
+++ b/src/arbutuslb/core/routing/service_benchmark.cc
@@ -37,7 +37,8 @@
 };
 
 // Runs one scenario with one policy. `Retries` is how often a refused call is tried elsewhere.
-template <typename Policy, typename Limit, int Retries> class service_run {
+template <typename Policy, typename Limit, int Retries>
+class service_run {
 public:
   service_run(const scenario& given, std::uint64_t seed) : scenario_(given), random_(seed) {
     for (int i = 0; i < 2 * given.per_domain; ++i) {
