Herds: answers with members are limited, silent endpoints are left out, readers beat to substitutes only

Cause: 108 fresh processes asked six seeds for all members at once; a reader beat to every reader and substitute with updates on each; half a domain dead tripped the floor of ejection, which then sent half of the calls to the dead. Change: an answer names at most 32 members and takes a token (1/s); a busy daemon names 3 others to ask; updates travel on probes only, 8 at a time; heartbeats go to 3 substitutes; a call that gets no answer leaves its endpoint out at once, whatever the floor says; the member table keeps indexes by domain and service.

--- a/src/arbutuslb/core/engine/call_router.cc
+++ b/src/arbutuslb/core/engine/call_router.cc
@@ -496,7 +496,7 @@
     if (call.gave_up) {
       continue;
     }
-    directory_.stats_of(call.target, call.target_boot).on_failed(shared_.now);
+    directory_.stats_of(call.target, call.target_boot).on_silent(shared_.now);
     const bool is_gone = is_target_gone(call);
     if (!is_gone) {
       cancel_attempt(id, call);
--- a/src/arbutuslb/core/engine/context.cc
+++ b/src/arbutuslb/core/engine/context.cc
@@ -95,7 +95,7 @@
       value.held.domains.push_back({domain, now - at});
     }
   }
-  if (!std::holds_alternative<protocol::config_push>(body)) {
+  if (is_probe(body)) {
     value.updates = rumors.take(updates_per_message, members.size());
   }
   value.body = std::move(body);
--- a/src/arbutuslb/core/engine/context.h
+++ b/src/arbutuslb/core/engine/context.h
@@ -21,7 +21,7 @@
 // A domain counts as unreachable when nobody in the own domain has heard of it for this long.
 inline constexpr std::chrono::seconds unreachable_after{8};
 // Membership updates carried by one message.
-inline constexpr std::size_t updates_per_message = 5;
+inline constexpr std::size_t updates_per_message = 8;
 
 struct core_settings {
   std::string instance; // the instance's name
--- a/src/arbutuslb/core/engine/distributor.cc
+++ b/src/arbutuslb/core/engine/distributor.cc
@@ -181,8 +181,8 @@
   next_heartbeat_ = shared_.now + reader_heartbeat_period;
   const std::vector<member_id> holders =
       shared_.duty_holders("reader", readers_per_domain + max_substitute_readers);
-  for (const member_id id : holders) {
-    shared_.send(id, protocol::reader_heartbeat{}, channel::datagram);
+  for (std::size_t rank = readers_per_domain; rank < holders.size(); ++rank) {
+    shared_.send(holders[rank], protocol::reader_heartbeat{}, channel::datagram);
   }
 }
 
--- a/src/arbutuslb/core/engine/distributor.h
+++ b/src/arbutuslb/core/engine/distributor.h
@@ -14,10 +14,10 @@
 namespace arbutuslb::core::engine {
 
 inline constexpr std::size_t readers_per_domain = 2;
-inline constexpr std::size_t max_substitute_readers = 6;
+inline constexpr std::size_t max_substitute_readers = 3;
 inline constexpr std::chrono::milliseconds log_poll_wait{400};
 inline constexpr std::chrono::milliseconds log_read_timeout{2000};
-inline constexpr std::chrono::milliseconds reader_heartbeat_period{400};
+inline constexpr std::chrono::milliseconds reader_heartbeat_period{450};
 inline constexpr std::chrono::milliseconds substitute_wait{900};
 inline constexpr std::chrono::milliseconds substitute_wait_per_rank{200};
 inline constexpr std::chrono::milliseconds pull_timeout{300};
--- a/src/arbutuslb/core/engine/fleet_benchmark.cc
+++ b/src/arbutuslb/core/engine/fleet_benchmark.cc
@@ -14,7 +14,10 @@
 
 constexpr int domain_count = 3;
 
+constexpr std::uint16_t seeds = 6;
+
 void add_daemons(test_fleet& fleet, int count) {
+  fleet.seed_count = seeds;
   for (int i = 0; i < count; ++i) {
     const std::string domain = "d" + std::to_string(1 + i % domain_count);
     fleet.add(domain + "-" + std::to_string(i), domain, i % 2 == 0 ? "menu" : "pre-orders", "v1");
--- a/src/arbutuslb/core/engine/membership_service.cc
+++ b/src/arbutuslb/core/engine/membership_service.cc
@@ -44,7 +44,7 @@
 }
 
 membership_service::membership_service(context& shared)
-    : shared_(shared), detector_(shared.self.id) {
+    : shared_(shared), detector_(shared.self.id), tokens_at_(shared.now) {
   next_join_ = shared_.now + shared_.random.jitter(first_join_jitter);
   next_summary_ = shared_.now + shared_.random.jitter(summary_period);
   next_announcement_ = shared_.now + shared_.random.jitter(summary_period);
@@ -103,7 +103,7 @@
   std::vector<peer_address> targets = shared_.settings.seeds;
   targets.insert(targets.end(), announced_.begin(), announced_.end());
   std::erase(targets, shared_.self.address);
-  for (const peer_address& target : shared_.random.sample(targets, push_fanout)) {
+  for (const peer_address& target : shared_.random.sample(targets, peers_asked_to_join)) {
     shared_.send_to(target, protocol::membership_request{}, channel::stream);
   }
   read_announcements();
@@ -151,15 +151,23 @@
       append_log{shared_.next_number(), announcement_stream, serialize_announcement(shared_.self)});
 }
 
+// A herd of fresh processes must not cost the daemons that they ask more than a few members each.
 void membership_service::handle(const protocol::message& from,
                                 const protocol::membership_request&) {
-  for (const std::string& domain : shared_.members.domains()) {
-    std::vector<member> entries;
-    for (const member_id id : shared_.members.present_in(domain)) {
-      entries.push_back(*shared_.members.find(id));
-    }
-    send_entries(from.sender.address, domain, entries, std::nullopt);
+  protocol::membership_entries answer;
+  answer.domain = from.sender.domain;
+  const std::size_t count = take_answer_token() ? entries_for_joiner : entries_when_busy;
+  std::vector<member_id> ids =
+      shared_.random.sample(shared_.members.present_in(from.sender.domain), count);
+  if (ids.size() < count) {
+    const std::vector<member_id> others =
+        shared_.random.sample(shared_.members.present(), count - ids.size());
+    ids.insert(ids.end(), others.begin(), others.end());
   }
+  for (const member_id id : ids) {
+    answer.entries.push_back(*shared_.members.find(id));
+  }
+  shared_.send_to(from.sender.address, std::move(answer), channel::stream);
 }
 
 // --- probing ---
@@ -230,24 +238,29 @@
   }
 }
 
+// Compares one domain that differs: the own one first, any other by chance.
 void membership_service::handle(const protocol::message& from,
                                 const protocol::domain_summary& value) {
-  const auto is_named = [&value](const std::string& domain) {
-    const auto has_name = [&domain](const protocol::domain_summary::item& item) {
-      return item.domain == domain;
-    };
-    return std::any_of(value.domains.begin(), value.domains.end(), has_name);
-  };
+  std::map<std::string, std::uint64_t> theirs;
   for (const protocol::domain_summary::item& item : value.domains) {
-    if (item.hash != shared_.members.domain_hash(item.domain)) {
-      compare_with(from.sender.address, item.domain);
-    }
+    theirs[item.domain] = item.hash;
   }
   for (const std::string& domain : shared_.members.domains()) {
-    if (!is_named(domain)) {
-      compare_with(from.sender.address, domain);
+    theirs.try_emplace(domain, 0);
+  }
+  std::vector<std::string> differing;
+  for (const auto& [domain, hash] : theirs) {
+    if (hash != shared_.members.domain_hash(domain)) {
+      differing.push_back(domain);
     }
   }
+  if (differing.empty()) {
+    return;
+  }
+  const bool is_own =
+      std::find(differing.begin(), differing.end(), shared_.settings.domain) != differing.end();
+  compare_with(from.sender.address, is_own ? shared_.settings.domain
+                                           : differing[shared_.random.below(differing.size())]);
 }
 
 void membership_service::compare_if_different() {
@@ -264,48 +277,50 @@
                   channel::stream);
 }
 
+bool membership_service::take_answer_token() {
+  const double elapsed = std::chrono::duration<double>(shared_.now - tokens_at_).count();
+  tokens_at_ = shared_.now;
+  answer_tokens_ = std::min(answer_burst, answer_tokens_ + elapsed * answers_per_second);
+  if (answer_tokens_ < 1.0) {
+    return false;
+  }
+  answer_tokens_ -= 1.0;
+  return true;
+}
+
 void membership_service::handle(const protocol::message& from,
                                 const protocol::membership_compare& value) {
-  send_entries(from.sender.address, value.domain,
-               shared_.members.differing(value.domain, value.buckets),
-               shared_.members.hashes_of(value.domain));
+  if (!take_answer_token()) {
+    return;
+  }
+  protocol::membership_entries answer;
+  answer.domain = value.domain;
+  answer.entries = shared_.random.sample(shared_.members.differing(value.domain, value.buckets),
+                                         entries_per_answer);
+  answer.wants_reply = true;
+  answer.buckets = shared_.members.hashes_of(value.domain);
+  shared_.send_to(from.sender.address, std::move(answer), channel::stream);
 }
 
 void membership_service::handle(const protocol::message& from,
                                 const protocol::membership_entries& value) {
-  const std::vector<member> theirs_lacks =
-      value.wants_reply ? shared_.members.differing(value.domain, value.buckets)
-                        : std::vector<member>{};
+  protocol::membership_entries answer;
+  answer.domain = value.domain;
+  if (value.wants_reply && take_answer_token()) {
+    answer.entries = shared_.random.sample(shared_.members.differing(value.domain, value.buckets),
+                                           entries_per_answer);
+  }
   // Large differences spread by comparing, not as single updates.
   const bool pass_on = value.entries.size() <= max_passed_on_entries;
   for (const member& entry : value.entries) {
     shared_.learn(entry, pass_on);
   }
   refute_if_accused();
-  if (!theirs_lacks.empty()) {
-    send_entries(from.sender.address, value.domain, theirs_lacks, std::nullopt);
+  if (!answer.entries.empty()) {
+    shared_.send_to(from.sender.address, std::move(answer), channel::stream);
   }
 }
 
-void membership_service::send_entries(const peer_address& to, const std::string& domain,
-                                      const std::vector<member>& entries,
-                                      std::optional<membership::bucket_hashes> reply_to) {
-  std::size_t sent = 0;
-  do {
-    const std::size_t count = std::min(entries_per_message, entries.size() - sent);
-    protocol::membership_entries part;
-    part.domain = domain;
-    part.entries.assign(entries.begin() + static_cast<std::ptrdiff_t>(sent),
-                        entries.begin() + static_cast<std::ptrdiff_t>(sent + count));
-    sent += count;
-    if (reply_to && sent == entries.size()) {
-      part.wants_reply = true;
-      part.buckets = *reply_to;
-    }
-    shared_.send_to(to, std::move(part), channel::stream);
-  } while (sent < entries.size());
-}
-
 // --- leaving ---
 
 void membership_service::leave() {
--- a/src/arbutuslb/core/engine/membership_service.h
+++ b/src/arbutuslb/core/engine/membership_service.h
@@ -17,7 +17,16 @@
 inline constexpr std::chrono::milliseconds max_join_backoff{5000};
 // Peers told directly that this daemon leaves, besides those reached by gossip.
 inline constexpr std::size_t leave_fanout = 8;
-inline constexpr std::size_t entries_per_message = 400;
+// Members in one answer to a comparison; a large difference takes several comparisons.
+inline constexpr std::size_t entries_per_answer = 32;
+// Answers with members that one daemon gives a second, and at once. Others must ask elsewhere.
+inline constexpr double answers_per_second = 1.0;
+inline constexpr double answer_burst = 2.0;
+// Members that a fresh process is told of, so that it can ask others.
+inline constexpr std::size_t entries_for_joiner = 12;
+inline constexpr std::size_t entries_when_busy = 3;
+// Peers that a fresh process asks at once.
+inline constexpr std::size_t peers_asked_to_join = 2;
 inline constexpr std::size_t max_passed_on_entries = 16;
 inline constexpr std::size_t max_announcements = 256;
 // How often a member that holds the duty repeats its announcement in the log.
@@ -52,9 +61,7 @@
   void compare_if_different();
   void announce();
   void read_announcements();
-  void send_entries(const peer_address& to, const std::string& domain,
-                    const std::vector<membership::member>& entries,
-                    std::optional<membership::bucket_hashes> reply_to);
+  bool take_answer_token();
   protocol::domain_summary summary_of_domains() const;
   void compare_with(const peer_address& to, const std::string& domain);
 
@@ -69,6 +76,8 @@
   std::uint64_t announcement_read_ = 0;
   std::vector<peer_address> announced_;
   std::optional<peer_address> differing_peer_;
+  double answer_tokens_ = answer_burst;
+  time_point tokens_at_;
 };
 
 // The form of a member in the announcement stream.
--- a/src/arbutuslb/core/engine/membership_test.cc
+++ b/src/arbutuslb/core/engine/membership_test.cc
@@ -105,3 +105,26 @@
     assert_no_violations(fleet, seed);
   });
 }
+
+Test(membership, a_daemon_that_a_herd_asks_gives_little) {
+  test_fleet fleet(1);
+  for (int i = 0; i < 30; ++i) {
+    fleet.add("m" + std::to_string(i), "d1", "menu", "v1");
+  }
+  fleet.run_for(30s);
+  protocol::message asked;
+  asked.sender = fleet.daemon("m1").self();
+  asked.body = protocol::membership_request{};
+  std::size_t entries = 0;
+  constexpr int askers = 100;
+  for (int i = 0; i < askers; ++i) {
+    for (const action& item : fleet.daemon("m0").handle(peer_message{asked}, fleet.now())) {
+      const send_message* sent = std::get_if<send_message>(&item);
+      const protocol::membership_entries* answer =
+          sent == nullptr ? nullptr : std::get_if<protocol::membership_entries>(&sent->value.body);
+      entries += answer == nullptr ? 0 : answer->entries.size();
+    }
+  }
+  cr_assert_geq(entries, askers); // each learns of somebody else to ask
+  cr_assert_leq(entries, askers * entries_when_busy + 2 * entries_for_joiner);
+}
--- a/src/arbutuslb/core/membership/member_table.cc
+++ b/src/arbutuslb/core/membership/member_table.cc
@@ -23,6 +23,16 @@
   return value.status != member_status::dead;
 }
 
+std::vector<member_id> indexed(const std::unordered_map<std::string, std::set<member_id>>& index,
+                               const std::string& key) {
+  const std::unordered_map<std::string, std::set<member_id>>::const_iterator found =
+      index.find(key);
+  if (found == index.end()) {
+    return {};
+  }
+  return {found->second.begin(), found->second.end()};
+}
+
 } // namespace
 
 const char* to_string(member_status value) {
@@ -53,6 +63,18 @@
   }
 }
 
+void member_table::add_to_indexes(const member& value) {
+  if (is_present(value)) {
+    by_domain_[value.domain].insert(value.id);
+    by_service_[value.service].insert(value.id);
+  }
+}
+
+void member_table::remove_from_indexes(const member& value) {
+  by_domain_[value.domain].erase(value.id);
+  by_service_[value.service].erase(value.id);
+}
+
 bool member_table::merge(const member& update, time_point now) {
   const std::map<member_id, entry>::iterator known = entries_.find(update.id);
   if (known == entries_.end()) {
@@ -62,9 +84,11 @@
       return false;
     }
     toggle_hash(known->second.value);
+    remove_from_indexes(known->second.value);
     known->second = entry{update, now};
   }
   toggle_hash(update);
+  add_to_indexes(update);
   ++generation_;
   return true;
 }
@@ -75,13 +99,7 @@
 }
 
 std::vector<member_id> member_table::present_in(const std::string& domain) const {
-  std::vector<member_id> ids;
-  for (const auto& [id, item] : entries_) {
-    if (is_present(item.value) && item.value.domain == domain) {
-      ids.push_back(id);
-    }
-  }
-  return ids;
+  return indexed(by_domain_, domain);
 }
 
 std::vector<member_id> member_table::present() const {
@@ -104,13 +122,7 @@
 }
 
 std::vector<member_id> member_table::upstreams_of(const std::string& service) const {
-  std::vector<member_id> ids;
-  for (const auto& [id, item] : entries_) {
-    if (is_present(item.value) && item.value.service == service) {
-      ids.push_back(id);
-    }
-  }
-  return ids;
+  return indexed(by_service_, service);
 }
 
 bucket_hashes member_table::hashes_of(const std::string& domain) const {
--- a/src/arbutuslb/core/membership/member_table.h
+++ b/src/arbutuslb/core/membership/member_table.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -57,9 +58,14 @@
     time_point changed;
   };
   void toggle_hash(const member& value);
+  void add_to_indexes(const member& value);
+  void remove_from_indexes(const member& value);
 
   std::map<member_id, entry> entries_;
   std::unordered_map<std::string, bucket_hashes> hashes_;
+  // Present members by domain and by service.
+  std::unordered_map<std::string, std::set<member_id>> by_domain_;
+  std::unordered_map<std::string, std::set<member_id>> by_service_;
   std::uint64_t fleet_hash_ = 0;
   std::uint64_t generation_ = 0;
 };
--- a/src/arbutuslb/core/routing/endpoint_directory.cc
+++ b/src/arbutuslb/core/routing/endpoint_directory.cc
@@ -114,17 +114,24 @@
     return std::find(request.excluded.begin(), request.excluded.end(), view.id) !=
            request.excluded.end();
   };
-  const auto is_ejected = [now](const endpoint_view& view) { return view.stats->is_ejected(now); };
-  // Ejecting more than half would overload the rest: then ejection is ignored.
+  // Ejecting more than half for their errors would overload the rest: then errors are ignored.
+  // Silent endpoints bear nothing, so that they are left out as long as any other is there.
+  const auto is_ejected = [now](const endpoint_view& view) {
+    return view.stats->is_ejected(now) && !view.stats->is_silent(now);
+  };
+  const auto is_silent = [now](const endpoint_view& view) { return view.stats->is_silent(now); };
   const std::size_t ejected =
       static_cast<std::size_t>(std::count_if(all.begin(), all.end(), is_ejected));
   const bool obey_ejection = ejected * 2 <= all.size();
+  const bool obey_silence = !std::all_of(all.begin(), all.end(), is_silent);
   const bool obey_refusal = request.priority != config::request_class::critical;
   std::vector<endpoint_view> result;
   result.reserve(all.size());
   for (const endpoint_view& view : all) {
-    const bool refusing = obey_refusal && view.stats->is_refusing(now);
-    if (!is_excluded(view) && !(obey_ejection && is_ejected(view)) && !refusing) {
+    const bool is_avoided = (obey_ejection && is_ejected(view)) ||
+                            (obey_silence && is_silent(view)) ||
+                            (obey_refusal && view.stats->is_refusing(now));
+    if (!is_excluded(view) && !is_avoided) {
       result.push_back(view);
     }
   }
--- a/src/arbutuslb/core/routing/endpoint_stats.h
+++ b/src/arbutuslb/core/routing/endpoint_stats.h
@@ -39,7 +39,7 @@
     on_busy(now, pause * (1 << doublings));
   }
 
-  // No answer, or an answer that shows a fault of the upstream.
+  // An answer that shows a fault of the upstream.
   void on_failed(time_point now) {
     finish();
     ++failures_;
@@ -49,6 +49,13 @@
     }
   }
 
+  // No answer at all. A silent endpoint is left alone at once, and for longer each time.
+  void on_silent(time_point now) {
+    failures_ = std::max(failures_, failures_before_ejection - 1);
+    on_failed(now);
+    silent_until_ = ejected_until_;
+  }
+
   // The call ended without telling anything about the upstream.
   void on_cancelled() { finish(); }
 
@@ -59,6 +66,7 @@
   }
 
   bool is_refusing(time_point now) const { return now < refusing_until_; }
+  bool is_silent(time_point now) const { return now < silent_until_; }
   bool is_ejected(time_point now) const { return now < ejected_until_; }
   double limit(time_point now) const {
     return is_load_fresh(now) ? std::max(1.0, advertised_limit_) : assumed_limit();
@@ -101,6 +109,7 @@
   time_point advertised_at_{};
   time_point refusing_until_{};
   time_point ejected_until_{};
+  time_point silent_until_{};
 };
 
 } // namespace arbutuslb::core::routing
--- a/src/arbutuslb/fakes/test_fleet.cc
+++ b/src/arbutuslb/fakes/test_fleet.cc
@@ -37,7 +37,10 @@
   fresh.settings.address = {"10.0.0.1", port, port};
   fresh.settings.service = service;
   fresh.settings.version = version;
-  fresh.settings.seeds = {{"10.0.0.1", 10001, 10001}, {"10.0.0.1", 10002, 10002}};
+  for (std::uint16_t seed = 0; seed < seed_count; ++seed) {
+    const std::uint16_t seed_port = static_cast<std::uint16_t>(first_port + seed);
+    fresh.settings.seeds.push_back({"10.0.0.1", seed_port, seed_port});
+  }
   fresh.upstream.settings = upstream;
   names_by_address_[fresh.settings.address] = name;
   start(fresh);
--- a/src/arbutuslb/fakes/test_fleet.h
+++ b/src/arbutuslb/fakes/test_fleet.h
@@ -63,6 +63,9 @@
   model_upstream& upstream(const std::string& name);
   std::vector<std::string> names() const;
 
+  // The daemons added first are the seeds of those added later.
+  std::uint16_t seed_count = 2;
+
   // --- faults ---
   link_settings link;
   // Returns the size of a message on the wire; set it to count bytes.
@@ -166,7 +169,8 @@
   std::vector<std::string> violations_;
   std::vector<std::string> events_;
   int upstream_deaths_ = 0;
-  int next_port_ = 10001;
+  static constexpr int first_port = 10001;
+  int next_port_ = first_port;
 };
 
 } // namespace arbutuslb::fakes
