--- a/src/arbutuslb/core/config/configuration.cc
+++ b/src/arbutuslb/core/config/configuration.cc
@@ -2,9 +2,11 @@
 
 #include "arbutuslb/core/base/hash.h"
 #include "arbutuslb/core/config/internal_json.h"
+#include "arbutuslb/core/config/object_hash.h"
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace arbutuslb::core::config {
 namespace {
@@ -14,23 +16,6 @@
 constexpr std::int64_t max_integer = std::numeric_limits<std::int64_t>::max();
 constexpr int snapshot_format = 1;
 
-template <typename Value>
-std::uint64_t hash_of(const Value& value) {
-  return hash_bytes(internal::to_json(value).dump(), 7);
-}
-
-std::uint64_t hash_of(const std::string& command_id, const command_outcome& outcome) {
-  return hash_bytes(command_id, outcome.version * 2 + (outcome.accepted ? 1 : 0));
-}
-
-bool is_path_prefix(std::string_view prefix, std::string_view path) {
-  if (path.substr(0, prefix.size()) != prefix) {
-    return false;
-  }
-  return path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/' ||
-         path[prefix.size()] == '?';
-}
-
 template <typename Value>
 json objects_of(const std::map<std::string, Value>& values) {
   json array = json::array();
@@ -73,6 +58,10 @@
       item.changed = stamp;
       state.replace(state.services_, item.name, item);
     }
+    // All leave before any comes back: two routes may swap their prefixes.
+    for (const route& item : value.routes) {
+      state.erase(state.routes_, item.name);
+    }
     for (route item : value.routes) {
       item.changed = stamp;
       state.replace(state.routes_, item.name, item);
@@ -145,6 +134,9 @@
                             Value value) {
   erase(objects, name);
   objects_hash_ ^= hash_of(value);
+  if constexpr (std::is_same_v<Value, route>) {
+    routes_by_prefix_[value.path_prefix] = name;
+  }
   objects.emplace(name, std::move(value));
 }
 
@@ -153,6 +145,9 @@
   const typename std::map<std::string, Value>::iterator found = objects.find(name);
   if (found != objects.end()) {
     objects_hash_ ^= hash_of(found->second);
+    if constexpr (std::is_same_v<Value, route>) {
+      routes_by_prefix_.erase(found->second.path_prefix);
+    }
     objects.erase(found);
   }
 }
@@ -315,43 +310,51 @@
   }
 }
 
-void configuration::check_routes(const publish_command& value, finding_list& findings) const {
-  std::map<std::string, service> services_after = services_;
-  for (const service& item : value.services) {
-    services_after[item.name] = item;
+// True if the service is there once the command has been applied.
+bool configuration::has_service_after(const publish_command& value, const std::string& name) const {
+  const auto is_published = [&name](const service& item) { return item.name == name; };
+  if (std::any_of(value.services.begin(), value.services.end(), is_published)) {
+    return true;
   }
-  for (const std::string& name : value.removed_services) {
-    services_after.erase(name);
-  }
-  std::map<std::string, route> routes_kept = routes_;
+  const bool is_removed = std::find(value.removed_services.begin(), value.removed_services.end(),
+                                    name) != value.removed_services.end();
+  return !is_removed && services_.contains(name);
+}
+
+void configuration::check_routes(const publish_command& value, finding_list& findings) const {
+  std::set<std::string> changed;
   for (const std::string& name : value.removed_routes) {
-    if (routes_kept.erase(name) == 0) {
+    if (!routes_.contains(name)) {
       findings.add("remove_routes", with_nearest("unknown route", name, routes_));
     }
+    changed.insert(name);
+  }
+  for (const route& item : value.routes) {
+    changed.insert(item.name);
   }
-  std::map<std::string, std::string> route_by_prefix;
+  std::set<std::string> prefixes;
   for (std::size_t i = 0; i < value.routes.size(); ++i) {
     const route& item = value.routes[i];
     const std::string place = "routes[" + std::to_string(i) + "]";
-    if (!services_after.contains(item.service)) {
-      findings.add(place + ".service",
-                   with_nearest("unknown service", item.service, services_after));
+    if (!has_service_after(value, item.service)) {
+      findings.add(place + ".service", with_nearest("unknown service", item.service, services_));
     }
-    if (!route_by_prefix.emplace(item.path_prefix, item.name).second) {
+    if (!prefixes.insert(item.path_prefix).second) {
       findings.add(place + ".path_prefix", "stands twice in this document");
     }
-    routes_kept.erase(item.name);
+    const std::unordered_map<std::string, std::string>::const_iterator taken =
+        routes_by_prefix_.find(item.path_prefix);
+    if (taken != routes_by_prefix_.end() && !changed.contains(taken->second)) {
+      findings.add(place + ".path_prefix", "is that of route \"" + taken->second + "\"");
+    }
   }
-  for (const auto& [name, item] : routes_kept) {
-    if (!services_after.contains(item.service)) {
+  if (value.removed_services.empty()) {
+    return;
+  }
+  for (const auto& [name, item] : routes_) {
+    if (!changed.contains(name) && !has_service_after(value, item.service)) {
       findings.add("remove_services", "route \"" + name + "\" needs \"" + item.service + "\"");
     }
-    const std::map<std::string, std::string>::iterator taken =
-        route_by_prefix.find(item.path_prefix);
-    if (taken != route_by_prefix.end()) {
-      findings.add("routes",
-                   "route \"" + name + "\" has the path prefix of \"" + taken->second + "\"");
-    }
   }
 }
 
@@ -436,14 +439,19 @@
 }
 
 const route* configuration::match_route(std::string_view path) const {
-  const route* best = nullptr;
-  for (const auto& [name, value] : routes_) {
-    const bool longer = best == nullptr || value.path_prefix.size() > best->path_prefix.size();
-    if (longer && is_path_prefix(value.path_prefix, path)) {
-      best = &value;
+  for (std::size_t length = path.size(); length > 0; --length) {
+    const bool is_whole_segment = length == path.size() || path[length - 1] == '/' ||
+                                  path[length] == '/' || path[length] == '?';
+    if (!is_whole_segment) {
+      continue;
+    }
+    const std::unordered_map<std::string, std::string>::const_iterator found =
+        routes_by_prefix_.find(std::string(path.substr(0, length)));
+    if (found != routes_by_prefix_.end()) {
+      return &routes_.at(found->second);
     }
   }
-  return best;
+  return nullptr;
 }
 
 std::optional<command_outcome> configuration::outcome_of(const std::string& command_id) const {
--- a/src/arbutuslb/core/config/configuration.h
+++ b/src/arbutuslb/core/config/configuration.h
@@ -58,7 +58,7 @@
   const failure_domain* find_domain(std::string_view name) const;
   const move* find_move(config_version id) const;
   // Returns the route with the longest prefix of `path`, or null. A prefix matches whole segments.
-  // O(routes).
+  // O(segments of the path).
   const route* match_route(std::string_view path) const;
   const move* running_move(std::string_view service) const;
   std::optional<command_outcome> outcome_of(const std::string& command_id) const;
@@ -78,6 +78,7 @@
   void check_command(const command& value, finding_list& findings) const;
   void check_publish(const publish_command& value, finding_list& findings) const;
   void check_services(const publish_command& value, finding_list& findings) const;
+  bool has_service_after(const publish_command& value, const std::string& name) const;
   void check_routes(const publish_command& value, finding_list& findings) const;
   void check_move(const move_command& value, finding_list& findings) const;
   void check_judgement(config_version move_id, finding_list& findings) const;
@@ -94,6 +95,7 @@
   std::uint64_t malformed_records_ = 0;
   std::map<std::string, service> services_;
   std::map<std::string, route> routes_;
+  std::unordered_map<std::string, std::string> routes_by_prefix_; // names by path prefix
   std::map<std::string, failure_domain> domains_;
   std::map<std::string, move> moves_;
   std::unordered_map<std::string, command_outcome> outcomes_;
--- a/src/arbutuslb/core/config/configuration_test.cc
+++ b/src/arbutuslb/core/config/configuration_test.cc
@@ -141,3 +141,25 @@
   cr_assert_eq(result.status, fold_status::refused);
   cr_assert_eq(result.findings[0].place, "remove_services");
 }
+
+Test(configuration, two_routes_may_swap_their_prefixes) {
+  configuration state = with_menu();
+  state.fold(2, publish_record("c2", R"({"routes": [
+    {"name": "stock", "path_prefix": "/stock", "service": "menu"}]})"));
+  const fold_result swapped = state.fold(3, publish_record("c3", R"({"routes": [
+    {"name": "stock", "path_prefix": "/menu", "service": "menu"},
+    {"name": "menu", "path_prefix": "/stock", "service": "menu"}]})"));
+  cr_assert_eq(swapped.status, fold_status::accepted);
+  cr_assert_eq(state.match_route("/menu/today")->name, "stock");
+  cr_assert_eq(state.match_route("/stock?x=1")->name, "menu");
+}
+
+Test(configuration, the_longest_prefix_of_whole_segments_wins) {
+  configuration state = with_menu();
+  state.fold(2, publish_record("c2", R"({"routes": [
+    {"name": "drinks", "path_prefix": "/menu/drinks", "service": "menu"},
+    {"name": "rest", "path_prefix": "/", "service": "menu"}]})"));
+  cr_assert_eq(state.match_route("/menu/drinks/1")->name, "drinks");
+  cr_assert_eq(state.match_route("/menu/drinksx")->name, "menu");
+  cr_assert_eq(state.match_route("/menus")->name, "rest");
+}
--- /dev/null
+++ b/src/arbutuslb/core/config/object_hash.cc
@@ -0,0 +1,98 @@
+#include "arbutuslb/core/config/object_hash.h"
+
+#include "arbutuslb/core/base/hash.h"
+
+#include <bit>
+
+namespace arbutuslb::core::config {
+namespace {
+
+// Each field's hash is seeded with that of the fields before it.
+class field_hasher {
+public:
+  explicit field_hasher(std::uint64_t kind) : hash_(kind) {}
+
+  field_hasher& add(const std::string& text) {
+    hash_ = hash_bytes(text, hash_ + 1);
+    return *this;
+  }
+  field_hasher& add(std::uint64_t number) {
+    hash_ = rendezvous_weight(hash_, number);
+    return *this;
+  }
+  field_hasher& add(double number) { return add(std::bit_cast<std::uint64_t>(number)); }
+  field_hasher& add(const change_stamp& stamp) {
+    return add(stamp.version).add(stamp.command_id).add(stamp.operator_name);
+  }
+  std::uint64_t result() const { return hash_; }
+
+private:
+  std::uint64_t hash_;
+};
+
+std::uint64_t whole(std::int64_t value) {
+  return static_cast<std::uint64_t>(value);
+}
+
+} // namespace
+
+std::uint64_t hash_of(const service& value) {
+  field_hasher hasher(1);
+  hasher.add(value.name).add(value.active).add(whole(value.slots)).add(whole(value.connections));
+  hasher.add(value.retry_budget).add(value.changed);
+  for (const std::string& version : value.versions) {
+    hasher.add(version);
+  }
+  return hasher.result();
+}
+
+std::uint64_t hash_of(const route& value) {
+  const std::uint64_t idempotent = value.idempotent ? 1 : 0;
+  return field_hasher(2)
+      .add(value.name)
+      .add(value.path_prefix)
+      .add(value.service)
+      .add(idempotent)
+      .add(static_cast<std::uint64_t>(value.priority))
+      .add(value.changed)
+      .result();
+}
+
+std::uint64_t hash_of(const failure_domain& value) {
+  const std::uint64_t withdrawn = value.withdrawn ? 1 : 0;
+  return field_hasher(3)
+      .add(value.name)
+      .add(value.region)
+      .add(withdrawn)
+      .add(value.changed)
+      .result();
+}
+
+std::uint64_t hash_of(const move& value) {
+  return field_hasher(4)
+      .add(value.id)
+      .add(value.service)
+      .add(value.from)
+      .add(value.to)
+      .add(whole(to_epoch_milliseconds(value.started)))
+      .add(whole(to_epoch_milliseconds(value.by)))
+      .add(value.limits.max_error_increase)
+      .add(value.limits.max_latency_ratio)
+      .add(static_cast<std::uint64_t>(value.state))
+      .add(whole(value.share_permille))
+      .add(value.reason)
+      .add(value.changed)
+      .result();
+}
+
+std::uint64_t hash_of(const std::string& command_id, const command_outcome& outcome) {
+  const std::uint64_t accepted = outcome.accepted ? 1 : 0;
+  return field_hasher(5)
+      .add(command_id)
+      .add(outcome.version)
+      .add(accepted)
+      .add(outcome.text)
+      .result();
+}
+
+} // namespace arbutuslb::core::config
