A test that a fresh process waits for its peers; unused parts removed; benchmarks lint clean

Change: the test feeds one core by hand: one peer at version 1, two at 2. It fails with the mutation and passes without. Unused accessors removed, comments say process where they said life, the visitor of statements is plain.

--- a/src/arbutuslb/core/calls/duplicate_filter.h
+++ b/src/arbutuslb/core/calls/duplicate_filter.h
@@ -38,8 +38,6 @@
     return true;
   }
 
-  std::size_t senders() const noexcept { return windows_.size(); }
-
 private:
   static constexpr std::size_t window_size = 64;
   struct window {
--- a/src/arbutuslb/core/calls/key_table.h
+++ b/src/arbutuslb/core/calls/key_table.h
@@ -1,4 +1,4 @@
-// The calls of one home: what became of each key that it minted in its present life.
+// The calls of one home: what became of each key that its present process minted.
 //
 // A key is started at most once. A repeat is given the answer of the first, waits for it, or is
 // told that the outcome is unknown; it is started again only if the first was provably not run.
@@ -26,7 +26,7 @@
   running,   // started, no outcome yet: the waiter will be told
   finished,  // `result_of` has the outcome
   forgotten, // too old to know
-  not_minted // no key of this life
+  not_minted // no key of this process
 };
 
 struct key_result {
--- a/src/arbutuslb/core/engine/call_benchmark.cc
+++ b/src/arbutuslb/core/engine/call_benchmark.cc
@@ -33,13 +33,13 @@
     std::vector<std::uint64_t> tokens;
     fault.begin(fleet);
     for (int i = 0; i < 200; ++i) {
-      const std::string via = callers[static_cast<std::size_t>(i) % callers.size()];
+      const std::string& via = callers[static_cast<std::size_t>(i) % callers.size()];
       if (fleet.is_running(via)) {
         const std::string key = fleet.mint_key(via);
         const std::string body = "order-" + std::to_string(i);
         tokens.push_back(fleet.call(via, "/pre-orders", body, 400ms, key));
-        const std::string other = callers[fleet.random().below(callers.size())];
-        fleet.at(fleet.now() + fleet.random().jitter(800ms), [&fleet, other, body, key] {
+        const std::string& other = callers[fleet.random().below(callers.size())];
+        fleet.at(fleet.now() + fleet.random().jitter(800ms), [&fleet, other = other, body, key] {
           if (fleet.is_running(other)) {
             fleet.call(other, "/pre-orders", body, 400ms, key);
           }
--- a/src/arbutuslb/core/engine/distribution_test.cc
+++ b/src/arbutuslb/core/engine/distribution_test.cc
@@ -171,6 +171,52 @@
   });
 }
 
+Test(distribution, a_fresh_process_does_not_serve_below_what_its_peers_hold) {
+  test_fleet fleet(1);
+  for (const std::string name : {"a", "b", "c"}) {
+    fleet.add(name, "d1", "menu", "v1");
+  }
+  start_van_mesh(fleet);
+  const std::string first = fleet.daemon("a").configuration().snapshot();
+  fleet.ask("a", "publish", add_stock);
+  fleet.run_for(1s);
+  core_settings settings;
+  settings.instance = "fresh";
+  settings.domain = "d1";
+  settings.service = "menu";
+  settings.version = "v1";
+  daemon_core fresh(settings, 1, fleet.now());
+  time_point now = fleet.now();
+  const auto hear = [&](const std::string& peer, config_version held, protocol::message_body body) {
+    protocol::message value;
+    value.sender = fleet.daemon(peer).self();
+    value.held.version = held;
+    value.body = std::move(body);
+    fresh.handle(peer_message{value}, now);
+    now += tick_period;
+    fresh.handle(tick{}, now);
+  };
+  const auto is_ready = [&] {
+    const std::vector<action> actions =
+        fresh.handle(call_received{1, {"GET", "/menu", "", "", "", 0}, 500ms}, now);
+    const answer_caller* refusal = std::get_if<answer_caller>(&actions.front());
+    return refusal == nullptr || refusal->reason != "no configuration yet";
+  };
+  for (const std::string peer : {"b", "c"}) {
+    fresh.handle(tick{}, now);
+    hear("a", 1, protocol::membership_entries{"d1", {fleet.daemon(peer).self()}, false, {}});
+  }
+  hear("a", 1, protocol::config_snapshot{first});
+  cr_assert_eq(fresh.configuration().version(), 1U);
+  cr_assert_not(is_ready(), "one peer was heard");
+  hear("b", 2, protocol::version_report{});
+  hear("c", 2, protocol::version_report{});
+  cr_assert_not(is_ready(), "two peers hold more");
+  hear("b", 2, protocol::config_push{2, {fleet.store.read(config_stream, 2, 1).records.at(0)}});
+  cr_assert_eq(fresh.configuration().version(), 2U);
+  cr_assert(is_ready());
+}
+
 Test(distribution, snapshots_carry_the_state_past_the_logs_retention) {
   for_each_seed(2, [](std::uint64_t seed) {
     test_fleet fleet(seed);
--- a/src/arbutuslb/core/engine/distributor.h
+++ b/src/arbutuslb/core/engine/distributor.h
@@ -62,10 +62,6 @@
   void on_version_report(const protocol::message& from);
   std::vector<member_id> reporters() { return shared_.duty_holders("reader", readers_per_domain); }
 
-  bool is_reading() const noexcept { return read_.has_value(); }
-  // Consecutive reads of the log that failed.
-  int failed_reads() const noexcept { return failed_reads_; }
-
 private:
   struct outstanding_read {
     std::uint64_t request;
--- a/src/arbutuslb/core/engine/membership_service.h
+++ b/src/arbutuslb/core/engine/membership_service.h
@@ -51,8 +51,6 @@
   // Announces that this daemon leaves.
   void leave();
 
-  bool is_isolated() const noexcept { return detector_.is_isolated(); }
-
 private:
   void refute_if_accused();
   void join_if_alone();
--- a/src/arbutuslb/core/engine/operator_service.cc
+++ b/src/arbutuslb/core/engine/operator_service.cc
@@ -9,13 +9,6 @@
 using operators::exit_code;
 using operators::report;
 
-struct statement_kind {
-  template <typename Kind>
-  static const Kind* of(const operators::statement& value) {
-    return std::get_if<Kind>(&value);
-  }
-};
-
 report wrong_input(const std::vector<finding>& findings) {
   report value;
   value.code = exit_code::wrong_input;
@@ -48,20 +41,19 @@
 }
 
 void operator_service::dispatch(const operator_asked& asked, const operators::statement& parsed) {
-  if (const operators::show_query* query = statement_kind::of<operators::show_query>(parsed)) {
+  if (const operators::show_query* query = std::get_if<operators::show_query>(&parsed)) {
     show(asked.token, *query);
-  } else if (statement_kind::of<operators::in_force_query>(parsed) != nullptr) {
+  } else if (std::get_if<operators::in_force_query>(&parsed) != nullptr) {
     start_survey(asked.token, shared_.configuration.version(), status_patience, false);
-  } else if (statement_kind::of<operators::publish_request>(parsed) != nullptr) {
+  } else if (std::get_if<operators::publish_request>(&parsed) != nullptr) {
     command(asked, config::parse_publish_document(asked.document));
   } else if (const operators::command_request* given =
-                 statement_kind::of<operators::command_request>(parsed)) {
+                 std::get_if<operators::command_request>(&parsed)) {
     command(asked, given->body);
-  } else if (const operators::wait_request* wait =
-                 statement_kind::of<operators::wait_request>(parsed)) {
+  } else if (const operators::wait_request* wait = std::get_if<operators::wait_request>(&parsed)) {
     start_survey(asked.token, wait->version, wait->within, true);
   } else if (const operators::explain_request* request =
-                 statement_kind::of<operators::explain_request>(parsed)) {
+                 std::get_if<operators::explain_request>(&parsed)) {
     explain(asked.token, request->service);
   } else {
     report value;
--- a/src/arbutuslb/core/membership/rumor_queue.h
+++ b/src/arbutuslb/core/membership/rumor_queue.h
@@ -41,9 +41,6 @@
     return updates;
   }
 
-  bool empty() const noexcept { return rumors_.empty(); }
-  std::size_t size() const noexcept { return rumors_.size(); }
-
   static int transmissions(std::size_t fleet_size) {
     return 3 * static_cast<int>(std::ceil(std::log2(static_cast<double>(fleet_size) + 2.0)));
   }
--- a/src/arbutuslb/core/moves/evidence.h
+++ b/src/arbutuslb/core/moves/evidence.h
@@ -1,7 +1,7 @@
 // Evidence about a version under trial: counts of calls, errors and latencies by route and share.
 //
 // Daemons count beside their own upstream and report totals. Merging keeps the latest totals of
-// each life of each daemon, so reports may be lost, repeated or reordered.
+// each process of each daemon, so reports may be lost, repeated or reordered.
 //
 //   evidence_counter counter;
 //   counter.note("pre-orders", 100, outcome, latency);
--- a/src/arbutuslb/core/protocol/messages.h
+++ b/src/arbutuslb/core/protocol/messages.h
@@ -184,7 +184,8 @@
   std::array<std::uint64_t, bucket_count> latency{};
   friend bool operator==(const evidence_cell&, const evidence_cell&) = default;
 };
-// Totals since the start of the move; later reports of the same life replace earlier ones.
+// Totals since the start of the move; later reports of the same process replace earlier ones, cell
+// by cell.
 struct evidence_report {
   config_version move_id = 0;
   std::string version;
--- a/src/arbutuslb/core/routing/service_benchmark.cc
+++ b/src/arbutuslb/core/routing/service_benchmark.cc
@@ -71,8 +71,8 @@
     std::map<std::uint64_t, std::size_t> waiting_step;
   };
   struct timed {
-    duration at;
-    std::uint64_t order;
+    duration at{};
+    std::uint64_t order = 0;
     std::function<void()> what;
     bool operator<(const timed& other) const {
       return at != other.at ? at > other.at : order > other.order;
--- a/src/arbutuslb/fakes/test_fleet.h
+++ b/src/arbutuslb/fakes/test_fleet.h
@@ -131,7 +131,7 @@
   };
   struct scheduled {
     core::time_point time;
-    std::uint64_t order;
+    std::uint64_t order = 0;
     std::function<void()> what;
     bool operator<(const scheduled& other) const {
       return time != other.time ? time > other.time : order > other.order;
