--- a/src/arbutuslb/core/moves/judge_test.cc
+++ b/src/arbutuslb/core/moves/judge_test.cc
@@ -109,6 +109,18 @@
   cr_assert(verdict.reason.find("capacity") != std::string::npos);
 }
 
+Test(judge, a_fault_that_shows_late_is_seen_behind_many_good_calls) {
+  evidence_pool pool;
+  pool.merge({1}, {1}, report_of("v1", 900, 2000, 0, 4));
+  pool.merge({2}, {1}, report_of("v2", 900, 10000, 0, 4));
+  const time_point now = start + std::chrono::seconds{10};
+  pool.mark(now);
+  cr_assert_neq(judge_move(menu_move(900), pool, 0, start, now).kind, judgement_kind::brake);
+  pool.merge({2}, {1}, report_of("v2", 900, 10060, 30, 4));
+  const time_point later = now + std::chrono::seconds{1};
+  cr_assert_eq(judge_move(menu_move(900), pool, 0, start, later).kind, judgement_kind::brake);
+}
+
 Test(judge, deaths_by_known_poison_requests_do_not_count) {
   evidence_pool pool;
   protocol::evidence_report fresh = report_of("v2", 50, 500, 0, 4);
