--- a/src/arbutuslb/core/base/object_reader.cc
+++ b/src/arbutuslb/core/base/object_reader.cc
@@ -1,6 +1,7 @@
 #include "arbutuslb/core/base/object_reader.h"
 
 #include <algorithm>
+#include <charconv>
 #include <numeric>
 
 namespace arbutuslb::core {
@@ -51,6 +52,20 @@
   return best;
 }
 
+std::optional<duration> parse_duration(std::string_view text) {
+  double number = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  const std::string_view unit = text.substr(static_cast<std::size_t>(parsed.ptr - text.data()));
+  constexpr double longest_seconds = 1e9;
+  if (parsed.ec != std::errc{} || number < 0 || number > longest_seconds ||
+      (unit != "ms" && unit != "s")) {
+    return std::nullopt;
+  }
+  const std::chrono::duration<double, std::milli> value{unit == "s" ? number * 1000.0 : number};
+  return std::chrono::duration_cast<duration>(value);
+}
+
 json parse_json_with_comments(std::string_view text) {
   try {
     return json::parse(text.begin(), text.end(), nullptr, true, true);
@@ -189,6 +204,26 @@
                                                     to_milliseconds(low), to_milliseconds(high))};
 }
 
+duration object_reader::required_duration(std::string_view key) {
+  if (!has(key)) {
+    note(key, "is missing");
+  }
+  return optional_duration(key, duration::zero());
+}
+
+duration object_reader::optional_duration(std::string_view key, duration fallback) {
+  const json* found = find(key);
+  if (found == nullptr) {
+    return fallback;
+  }
+  const std::optional<duration> value =
+      found->is_string() ? parse_duration(found->get_ref<const std::string&>()) : std::nullopt;
+  if (!value) {
+    note(key, "expected a time such as \"250ms\" or \"1.5s\"");
+  }
+  return value.value_or(fallback);
+}
+
 std::string object_reader::required_choice(std::string_view key,
                                            const std::vector<std::string>& choices) {
   const std::string value = required_string(key);
--- a/src/arbutuslb/core/base/object_reader.h
+++ b/src/arbutuslb/core/base/object_reader.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,9 @@
   // Reads a whole number of milliseconds.
   duration optional_milliseconds(std::string_view key, duration fallback, duration low,
                                  duration high);
+  // Reads a number with its unit, such as "250ms" or "1.5s".
+  duration required_duration(std::string_view key);
+  duration optional_duration(std::string_view key, duration fallback);
   // Returns one of `choices`; the first of them if the value is none of them.
   std::string required_choice(std::string_view key, const std::vector<std::string>& choices);
   std::vector<std::string> optional_strings(std::string_view key);
@@ -73,6 +77,9 @@
 // none is near. O(known * length^2).
 std::string nearest_word(std::string_view word, const std::vector<std::string>& known);
 
+// Parses a time such as "250ms" or "1.5s"; nothing if it is malformed or negative.
+std::optional<duration> parse_duration(std::string_view text);
+
 // Parses JSON with comments. Throws `findings_error` with line and column when it is malformed.
 json parse_json_with_comments(std::string_view text);
 
--- a/src/arbutuslb/core/calls/key_table.cc
+++ b/src/arbutuslb/core/calls/key_table.cc
@@ -15,7 +15,9 @@
     if (number < first_remembered_) {
       return key_state::forgotten;
     }
-    entries_.emplace(number, entry{true, {}, now, {waiter}});
+    entry& fresh = entries_[number];
+    fresh.began = now;
+    fresh.waiters.push_back(waiter);
     return key_state::fresh;
   }
   if (!found->second.is_running) {
--- /dev/null
+++ b/src/arbutuslb/core/gateway/events.h
@@ -0,0 +1,144 @@
+// The input and the output of `gateway_core::handle`.
+#pragma once
+
+#include "arbutuslb/core/engine/actions.h"
+#include "arbutuslb/core/gateway/calls.h"
+#include "arbutuslb/core/gateway/operator_state.h"
+#include "arbutuslb/core/gateway/peer_report.h"
+#include "arbutuslb/core/gateway/upstream_registry.h"
+
+#include <variant>
+#include <vector>
+
+namespace arbutuslb::core::gateway {
+
+// --- events ---
+
+// Time has passed. Expected about every `tick_period`.
+struct tick {};
+inline constexpr std::chrono::milliseconds tick_period{20};
+
+// A caller's request was read whole. Answered by one `answer_caller`.
+struct call_received {
+  std::uint64_t token = 0;
+  call content;
+};
+// The caller has left; its request is no longer answered.
+struct caller_left {
+  std::uint64_t token = 0;
+};
+// A peer sent a request for the upstream beside this daemon. Answered by one `answer_peer`.
+struct run_requested {
+  std::uint64_t token = 0;
+  run_request content;
+};
+struct peer_left {
+  std::uint64_t token = 0;
+};
+// The end of what `send_to_peer` or `send_to_upstream` began.
+struct sending_ended {
+  std::uint64_t sending = 0;
+  run_result result;
+  bool is_unreachable = false; // no connection came about
+};
+struct heartbeat_received {
+  std::uint64_t token = 0;
+  heartbeat content;
+};
+struct goodbye_received {
+  std::uint64_t token = 0;
+  std::string instance_id;
+};
+// Operators' records, in order of their offsets. `end_offset`: of the log when they were read.
+struct orders_received {
+  std::vector<operator_record> records;
+  std::uint64_t end_offset = 0;
+  bool is_whole = false; // holds the newest record of every key
+};
+struct report_received {
+  peer_report content;
+};
+// Daemons that registered themselves in the store; the own address may be among them.
+struct peers_found {
+  std::vector<std::string> hosts;
+};
+// What the store holds of the outcomes of rollouts.
+struct outcomes_read {
+  struct outcome {
+    std::string service;
+    std::string target_version;
+    rollout_phase phase = rollout_phase::running;
+  };
+  std::vector<outcome> outcomes;
+  std::uint64_t end_offset = 0;
+};
+// The end of `record_outcome`.
+struct outcome_recorded {
+  std::string service;
+  bool is_recorded = false; // false: refused, conflicting or unknown; the outcomes are read again
+};
+struct stop_requested {};
+
+using event = std::variant<tick, call_received, caller_left, run_requested, peer_left,
+                           sending_ended, heartbeat_received, goodbye_received, orders_received,
+                           report_received, peers_found, outcomes_read, outcome_recorded,
+                           stop_requested>;
+
+// --- actions ---
+
+struct answer_caller {
+  std::uint64_t token = 0;
+  http_response answer;
+};
+struct answer_peer {
+  std::uint64_t token = 0;
+  run_result result;
+};
+// Sends a request to the daemon at `host`. Answered by one `sending_ended`.
+struct send_to_peer {
+  std::uint64_t sending = 0;
+  std::string host;
+  run_request request;
+};
+// Sends a request to the upstream beside this daemon. Answered by one `sending_ended`.
+struct send_to_upstream {
+  std::uint64_t sending = 0;
+  std::string address;
+  run_request request;
+};
+// Breaks the sending off. No `sending_ended` follows.
+struct cancel_sending {
+  std::uint64_t sending = 0;
+};
+struct acknowledge_heartbeat {
+  std::uint64_t token = 0;
+  bool is_accepted = false;
+  std::string reason;
+};
+struct send_report {
+  std::string host;
+  peer_report content;
+};
+// Reads the operators' records that this daemon lacks from a peer.
+struct fetch_orders {
+  std::string host;
+  std::uint64_t from_offset = 0;
+};
+// Registers this daemon in the store and reads who else is there.
+struct find_peers {};
+struct read_outcomes {};
+// Writes what became of a rollout, if nothing was written since `expected_end`.
+struct record_outcome {
+  std::string service;
+  std::string target_version;
+  rollout_phase phase = rollout_phase::running;
+  std::uint64_t expected_end = 0;
+};
+struct exit_process {};
+
+using action = std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream,
+                            cancel_sending, acknowledge_heartbeat, send_report, fetch_orders,
+                            find_peers, read_outcomes, record_outcome, engine::write_event,
+                            exit_process>;
+
+} // namespace arbutuslb::core::gateway
--- /dev/null
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -0,0 +1,273 @@
+#include "arbutuslb/core/gateway/gateway_core.h"
+
+#include <algorithm>
+
+namespace arbutuslb::core::gateway {
+namespace {
+
+// Peers of the own failure domain hear more often than others, whose bytes cost more.
+constexpr std::chrono::milliseconds near_report_period{500};
+constexpr std::chrono::milliseconds far_report_period{1000};
+// A contact that has not been heard for this long is forgotten.
+constexpr std::chrono::seconds contact_memory{60};
+// The own entry in the directory is brought up to date at most this often by ticks.
+constexpr std::chrono::milliseconds own_report_period{100};
+constexpr std::chrono::milliseconds first_search_period{700};
+constexpr std::chrono::seconds search_period{20};
+// A push or the own read of the log comes first; then the gap is fetched from a peer.
+constexpr std::chrono::milliseconds pull_patience{250};
+constexpr std::chrono::milliseconds pull_period{500};
+// Callers are told within two readiness checks; open connections are served that long.
+constexpr std::chrono::milliseconds min_stopping_time{2300};
+// Kept free at the end of the grace period.
+constexpr std::chrono::milliseconds stopping_reserve{700};
+
+} // namespace
+
+struct gateway_core::event_handler {
+  gateway_core& core;
+  void operator()(const tick&) const { core.on_tick(); }
+  void operator()(call_received& value) const { core.router_.on_call(std::move(value)); }
+  void operator()(const caller_left& value) const { core.router_.on_caller_left(value.token); }
+  void operator()(const run_requested& value) const { core.gate_.on_peer_request(value); }
+  void operator()(const peer_left& value) const { core.gate_.on_peer_left(value.token); }
+  void operator()(const sending_ended& value) const {
+    if (!core.gate_.on_sending_ended(value)) {
+      core.router_.on_sending_ended(value);
+    }
+  }
+  void operator()(const heartbeat_received& value) const { core.gate_.on_heartbeat(value); }
+  void operator()(const goodbye_received& value) const { core.gate_.on_goodbye(value); }
+  void operator()(orders_received& value) const { core.on_orders(std::move(value)); }
+  void operator()(const report_received& value) const { core.on_report(value.content); }
+  void operator()(const peers_found& value) const { core.on_peers_found(value); }
+  void operator()(const outcomes_read& value) const { core.rollouts_.on_outcomes(value); }
+  void operator()(const outcome_recorded& value) const { core.rollouts_.on_recorded(value); }
+  void operator()(const stop_requested&) const { core.begin_stopping(); }
+};
+
+gateway_core::gateway_core(gateway_settings settings, std::uint64_t seed, time_point now)
+    : shared_(std::move(settings), seed, now), rollouts_(shared_), gate_(shared_, rollouts_),
+      router_(shared_, rollouts_) {
+  next_search_ = now;
+}
+
+std::vector<action> gateway_core::handle(event value, time_point now) {
+  shared_.now = std::max(now, shared_.now);
+  std::visit(event_handler{*this}, value);
+  settle();
+  return std::exchange(shared_.actions, {});
+}
+
+// Carries requests and results between the two sides of this daemon until nothing is left.
+void gateway_core::settle() {
+  bool is_settled = false;
+  while (!is_settled) {
+    is_settled = true;
+    for (request_router::local_request& item : router_.take_local_requests()) {
+      gate_.on_local_request(item.sending, std::move(item.request));
+      is_settled = false;
+    }
+    for (const std::uint64_t sending : router_.take_local_cancels()) {
+      gate_.cancel_local(sending);
+      is_settled = false;
+    }
+    for (upstream_gate::local_result& item : gate_.take_local_results()) {
+      router_.on_sending_ended({item.sending, std::move(item.result), false});
+      is_settled = false;
+    }
+  }
+  if (shared_.wants_report) {
+    report_to_all();
+  }
+}
+
+bool gateway_core::is_ready() const {
+  return !shared_.is_stopping && shared_.orders.configuration() != nullptr;
+}
+
+void gateway_core::on_tick() {
+  const bool is_usable = shared_.registry.is_usable(shared_.now);
+  if (is_usable != was_usable_) {
+    was_usable_ = is_usable;
+    shared_.wants_report = true;
+  }
+  if (shared_.now - own_report_at_ >= own_report_period) {
+    own_report_at_ = shared_.now;
+    shared_.directory.merge(own_report(), shared_.now);
+  }
+  gate_.on_tick();
+  router_.on_tick();
+  rollouts_.on_tick();
+  send_due_reports();
+  pull_orders();
+  look_for_peers();
+  shared_.directory.forget_silent(shared_.now);
+  if (shared_.is_stopping) {
+    finish_stopping();
+  }
+}
+
+// --- orders ---
+
+void gateway_core::on_orders(orders_received value) {
+  bool has_news = false;
+  for (operator_record& record : value.records) {
+    const std::string key = record.key;
+    const std::uint64_t offset = record.offset;
+    if (const auto* unreadable = std::get_if<unreadable_order>(&record.value)) {
+      shared_.write(engine::severity::error, "order_unreadable",
+                    {{"key", key}, {"offset", std::to_string(offset)}, {"reason", unreadable->reason}});
+    }
+    if (!shared_.orders.apply(std::move(record))) {
+      continue;
+    }
+    has_news = true;
+    shared_.write(engine::severity::info, "order_applied",
+                  {{"key", key}, {"offset", std::to_string(offset)}});
+  }
+  shared_.orders.advance_to(value.end_offset);
+  if (has_news) {
+    rollouts_.on_orders();
+    gate_.on_orders();
+    shared_.wants_report = true;
+  }
+}
+
+void gateway_core::pull_orders() {
+  const auto [offset, host] = shared_.directory.furthest_peer(shared_.now);
+  if (offset <= shared_.orders.end_offset()) {
+    behind_since_ = {};
+    return;
+  }
+  if (behind_since_ == time_point{}) {
+    behind_since_ = shared_.now;
+  }
+  if (shared_.now - behind_since_ >= pull_patience && shared_.now >= next_pull_) {
+    next_pull_ = shared_.now + pull_period;
+    shared_.act(fetch_orders{host, shared_.orders.end_offset()});
+  }
+}
+
+// --- reports ---
+
+peer_report gateway_core::own_report() {
+  peer_report report;
+  report.name = shared_.settings.name;
+  report.host = shared_.settings.host;
+  report.domain = shared_.settings.domain;
+  report.boot = shared_.boot;
+  report.sequence = shared_.next_number();
+  report.is_stopping = shared_.is_stopping;
+  gate_.describe(report);
+  report.orders_end = shared_.orders.configuration() ? shared_.orders.end_offset() : 0;
+  report.rollouts = rollouts_.progress();
+  return report;
+}
+
+void gateway_core::report_to(const std::string& host, bool wants_reply) {
+  peer_report report = own_report();
+  report.wants_reply = wants_reply;
+  ++shared_.totals.reports_sent;
+  shared_.act(send_report{host, std::move(report)});
+}
+
+void gateway_core::report_to_all() {
+  shared_.wants_report = false;
+  const peer_report report = own_report();
+  shared_.directory.merge(report, shared_.now);
+  rollouts_.on_report(report);
+  for (auto& [host, known] : contacts_) {
+    ++shared_.totals.reports_sent;
+    shared_.act(send_report{host, report});
+  }
+}
+
+void gateway_core::send_due_reports() {
+  const auto is_forgotten = [&](const auto& item) {
+    return shared_.now - item.second.heard_at > contact_memory;
+  };
+  std::erase_if(contacts_, is_forgotten);
+  for (auto& [host, known] : contacts_) {
+    if (shared_.now < known.next_report) {
+      continue;
+    }
+    const auto peer = shared_.directory.peers().find(host);
+    const bool is_near = peer != shared_.directory.peers().end() &&
+                         peer->second.report.domain == shared_.settings.domain;
+    const duration period = is_near ? near_report_period : far_report_period;
+    known.next_report = shared_.now + period * 3 / 4 + shared_.random.jitter(period / 2);
+    report_to(host, false);
+  }
+}
+
+void gateway_core::on_report(const peer_report& report) {
+  if (report.host == shared_.settings.host) {
+    return;
+  }
+  ++shared_.totals.reports_received;
+  contact& known = contacts_[report.host];
+  known.heard_at = shared_.now;
+  const peer_directory::merge_result merged = shared_.directory.merge(report, shared_.now);
+  if (merged.is_changed) {
+    shared_.write(engine::severity::info, "peer_changed",
+                  {{"peer", report.name},
+                   {"service", report.service},
+                   {"instance", report.instance_id},
+                   {"version", report.version},
+                   {"usable", report.is_usable ? "true" : "false"},
+                   {"stopping", report.is_stopping ? "true" : "false"},
+                   {"cold_rate", std::to_string(static_cast<int>(report.cold_rate))}});
+  }
+  rollouts_.on_report(report);
+  if (report.wants_reply) {
+    report_to(report.host, false);
+  }
+}
+
+void gateway_core::on_peers_found(const peers_found& found) {
+  for (const std::string& host : found.hosts) {
+    if (host == shared_.settings.host || contacts_.contains(host)) {
+      continue;
+    }
+    contacts_[host] = {shared_.now, shared_.now + far_report_period};
+    report_to(host, true);
+  }
+}
+
+void gateway_core::look_for_peers() {
+  if (shared_.now < next_search_ || shared_.is_stopping) {
+    return;
+  }
+  const bool is_alone = shared_.directory.live_count(shared_.now) <= 1;
+  const duration period = is_alone ? duration{first_search_period} : duration{search_period};
+  next_search_ = shared_.now + period + shared_.random.jitter(period / 2);
+  shared_.act(find_peers{});
+}
+
+// --- the end ---
+
+void gateway_core::begin_stopping() {
+  if (shared_.is_stopping) {
+    return;
+  }
+  shared_.is_stopping = true;
+  shared_.wants_report = true;
+  stopping_since_ = shared_.now;
+  shared_.write(engine::severity::info, "stopping", {});
+}
+
+void gateway_core::finish_stopping() {
+  const duration since = shared_.now - stopping_since_;
+  const bool is_done = gate_.is_idle() && router_.is_idle() && since >= min_stopping_time;
+  if (has_exited_ || (!is_done && since < shared_.settings.grace_period - stopping_reserve)) {
+    return;
+  }
+  has_exited_ = true;
+  shared_.write(engine::severity::info, "stopped",
+                {{"after_ms", std::to_string(to_milliseconds(since))},
+                 {"complete", is_done ? "true" : "false"}});
+  shared_.act(exit_process{});
+}
+
+} // namespace arbutuslb::core::gateway
--- /dev/null
+++ b/src/arbutuslb/core/gateway/mesh_configuration.h
@@ -0,0 +1,62 @@
+// The routing configuration that operators publish, as typed values.
+//
+//   const route_policy* route = configuration.match("shop.example", "/orders/17?full=1");
+#pragma once
+
+#include "arbutuslb/core/base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace arbutuslb::core::gateway {
+
+struct weighted_service {
+  std::string service;
+  double weight = 1;
+};
+
+struct route_policy {
+  std::string name;
+  std::string host;
+  std::string path_prefix; // begins and ends with a slash
+  bool is_idempotent = false;
+  duration timeout{};        // from the arrival of a request to its final answer
+  duration target_latency{}; // within which an answer has its full value to the caller
+  int rank = 0;              // 0 is the most urgent
+  int max_upstreams = 1;     // upstreams that one request may be sent to
+  std::vector<weighted_service> split;
+};
+
+struct service_policy {
+  std::string name;
+  std::string health_path;
+  int max_connections = 0; // to one upstream, from all callers
+  duration cold_time{};    // after a start
+  double cold_rate = 0;    // requests a second that a cold upstream bears
+};
+
+// What a caller may send.
+struct caller_limits {
+  std::size_t max_header_bytes = 16384;
+  std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
+  duration header_timeout = std::chrono::seconds{3};
+  duration idle_timeout = std::chrono::seconds{15};
+};
+
+struct mesh_configuration {
+  std::uint64_t version = 0;
+  // By host, then by prefix.
+  std::map<std::string, std::map<std::string, route_policy, std::less<>>, std::less<>> routes;
+  std::map<std::string, service_policy, std::less<>> services;
+  caller_limits limits;
+
+  // Returns the route of `host` with the longest prefix that begins the path of `target`, or
+  // nullptr. `host` may carry a port and capitals. O(segments * log routes).
+  const route_policy* match(std::string_view host, std::string_view target) const;
+  const service_policy* find_service(std::string_view name) const;
+};
+
+} // namespace arbutuslb::core::gateway
--- /dev/null
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -0,0 +1,241 @@
+#include "arbutuslb/core/gateway/peer_directory.h"
+
+#include "arbutuslb/core/base/hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutuslb::core::gateway {
+namespace {
+
+// The part of a request's value that its bytes cost when they leave the failure domain.
+constexpr double domain_crossing_cost = 0.05;
+// Expected times below this part of the target latency carry no risk of being late.
+constexpr double safe_latency_fraction = 0.35;
+// Risk of an upstream's failing answers, for each permille of them.
+constexpr double failure_cost = 0.0015;
+constexpr double silent_cost = 10.0;
+// Choices whose risks differ by less than this are equally good.
+constexpr double equal_risk = 0.03;
+constexpr std::chrono::milliseconds first_unreachable_pause{300};
+constexpr std::chrono::milliseconds max_unreachable_pause{2400};
+constexpr std::chrono::milliseconds default_latency{60};
+
+} // namespace
+
+peer_directory::peer_directory(std::string own_domain, std::string own_host)
+    : own_domain_(std::move(own_domain)), own_host_(std::move(own_host)) {}
+
+peer_directory::merge_result peer_directory::merge(const peer_report& report, time_point now) {
+  peer& known = peers_[report.host];
+  const bool is_new = known.report.boot != report.boot;
+  if (report.boot < known.report.boot ||
+      (!is_new && report.sequence <= known.report.sequence && known.report.sequence != 0)) {
+    return {};
+  }
+  const peer_report& before = known.report;
+  const bool is_changed = is_new || before.is_usable != report.is_usable ||
+                          before.instance_id != report.instance_id ||
+                          before.is_stopping != report.is_stopping ||
+                          (before.cold_rate > 0) != (report.cold_rate > 0);
+  if (is_changed) {
+    known.closed_until = {};
+    known.failures_in_row = 0;
+  }
+  known.report = report;
+  known.heard_at = now;
+  known.own_requests_counted = known.own_requests;
+  return {is_new, is_changed};
+}
+
+void peer_directory::forget_silent(time_point now) {
+  std::erase_if(peers_, [&](const auto& item) {
+    return now - item.second.heard_at > peer_memory && item.second.own_requests == 0;
+  });
+}
+
+bool peer_directory::is_live(const peer& candidate, time_point now) const {
+  return now - candidate.heard_at < peer_silence_limit;
+}
+
+double peer_directory::risk_of(const peer& candidate, const upstream_query& query,
+                               time_point now) const {
+  const peer_report& report = candidate.report;
+  duration service_time = report.mean_latency;
+  for (const route_latency& item : report.routes) {
+    if (item.route_hash == query.route_hash) {
+      service_time = item.mean;
+    }
+  }
+  if (service_time <= duration::zero()) {
+    service_time = default_latency;
+  }
+  const int unseen = std::max(0, candidate.own_requests - candidate.own_requests_counted);
+  const double limit = std::max(1, report.limit);
+  const double load = report.in_flight + report.waiting + unseen;
+  const double excess = std::max(0.0, load + 1.0 - limit);
+  const double mean = static_cast<double>(std::max(report.mean_latency, duration{1}).count());
+  double expected = static_cast<double>(service_time.count()) + mean * excess / limit;
+  if (report.cold_rate > 0) {
+    // A cold upstream is slow and bears little: its queue counts by its rate.
+    constexpr double microseconds = 1e6;
+    expected += microseconds * load / std::max(1.0, report.cold_rate);
+  }
+  const double target = static_cast<double>(std::max(query.target_latency, duration{1000}).count());
+  const double lateness = std::max(0.0, expected / target - safe_latency_fraction);
+  const double utilization = std::min(1.0, load / limit);
+  double risk = lateness * lateness + 0.06 * utilization * utilization;
+  risk += failure_cost * report.failed_permille;
+  risk += report.domain == own_domain_ ? 0.0 : domain_crossing_cost;
+  risk += is_live(candidate, now) ? 0.0 : silent_cost;
+  return risk;
+}
+
+std::optional<std::string> peer_directory::choose(const upstream_query& query,
+                                                  const std::set<std::string>& closed,
+                                                  time_point now, random_source& random) {
+  std::optional<std::string> best;
+  double best_risk = 0;
+  for (const auto& [host, candidate] : peers_) {
+    const peer_report& report = candidate.report;
+    const bool is_possible = report.service == query.service && report.is_usable &&
+                             !report.is_stopping && !closed.contains(report.domain) &&
+                             now >= candidate.closed_until &&
+                             (query.allows_silent || is_live(candidate, now)) &&
+                             query.allows_version(report.version);
+    if (!is_possible ||
+        std::find(query.tried.begin(), query.tried.end(), host) != query.tried.end()) {
+      continue;
+    }
+    const double risk = risk_of(candidate, query, now) + equal_risk * random.fraction();
+    if (!best || risk < best_risk) {
+      best = host;
+      best_risk = risk;
+    }
+  }
+  return best;
+}
+
+void peer_directory::on_sent(const std::string& host) {
+  const auto found = peers_.find(host);
+  if (found != peers_.end()) {
+    ++found->second.own_requests;
+  }
+}
+
+void peer_directory::on_ended(const std::string& host) {
+  const auto found = peers_.find(host);
+  if (found != peers_.end()) {
+    found->second.own_requests = std::max(0, found->second.own_requests - 1);
+    found->second.own_requests_counted =
+        std::min(found->second.own_requests_counted, found->second.own_requests);
+  }
+}
+
+void peer_directory::on_load(const std::string& host, int in_flight, int waiting, time_point now) {
+  const auto found = peers_.find(host);
+  if (found == peers_.end()) {
+    return;
+  }
+  found->second.report.in_flight = in_flight;
+  found->second.report.waiting = waiting;
+  found->second.own_requests_counted = found->second.own_requests;
+  found->second.heard_at = now;
+}
+
+void peer_directory::on_unreachable(const std::string& host, time_point now) {
+  const auto found = peers_.find(host);
+  if (found == peers_.end()) {
+    return;
+  }
+  const int doublings = std::min(found->second.failures_in_row++, 3);
+  found->second.closed_until =
+      now + std::min<duration>(first_unreachable_pause * (1 << doublings), max_unreachable_pause);
+}
+
+void peer_directory::on_reachable(const std::string& host) {
+  const auto found = peers_.find(host);
+  if (found != peers_.end()) {
+    found->second.failures_in_row = 0;
+  }
+}
+
+void peer_directory::on_refused(const std::string& host, time_point until) {
+  const auto found = peers_.find(host);
+  if (found != peers_.end()) {
+    found->second.closed_until = std::max(found->second.closed_until, until);
+  }
+}
+
+duration peer_directory::mean_latency(std::string_view service) const {
+  duration sum{};
+  int count = 0;
+  for (const auto& [host, candidate] : peers_) {
+    if (candidate.report.service == service && candidate.report.is_usable) {
+      sum += candidate.report.mean_latency;
+      ++count;
+    }
+  }
+  return count == 0 ? duration{} : sum / count;
+}
+
+bool peer_directory::has_usable(std::string_view service, time_point now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+    return item.second.report.service == service && item.second.report.is_usable &&
+           is_live(item.second, now);
+  });
+}
+
+std::size_t peer_directory::live_count(time_point now) const {
+  return static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(),
+                    [&](const auto& item) { return is_live(item.second, now); }));
+}
+
+std::pair<std::uint64_t, std::string> peer_directory::furthest_peer(time_point now) const {
+  std::pair<std::uint64_t, std::string> furthest{0, ""};
+  for (const auto& [host, candidate] : peers_) {
+    if (host != own_host_ && is_live(candidate, now) &&
+        candidate.report.orders_end > furthest.first) {
+      furthest = {candidate.report.orders_end, host};
+    }
+  }
+  return furthest;
+}
+
+std::string peer_directory::oldest_version(std::string_view service) const {
+  const peer_report* oldest = nullptr;
+  for (const auto& [host, candidate] : peers_) {
+    const peer_report& report = candidate.report;
+    if (report.service == service && !report.instance_id.empty() &&
+        (oldest == nullptr || report.upstream_started_ms < oldest->upstream_started_ms)) {
+      oldest = &report;
+    }
+  }
+  return oldest == nullptr ? "" : oldest->version;
+}
+
+bool peer_directory::has_version(std::string_view service, std::string_view version,
+                                 time_point now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+    const peer_report& report = item.second.report;
+    return report.service == service && report.version == version && report.is_usable &&
+           is_live(item.second, now);
+  });
+}
+
+std::string peer_directory::duty_holder(std::string_view duty, time_point now) const {
+  const std::uint64_t key = hash_bytes(duty);
+  std::string holder = own_host_;
+  std::uint64_t best = rendezvous_weight(key, hash_bytes(own_host_));
+  for (const auto& [host, candidate] : peers_) {
+    const std::uint64_t weight = rendezvous_weight(key, hash_bytes(host));
+    if (is_live(candidate, now) && !candidate.report.is_stopping && weight > best) {
+      best = weight;
+      holder = host;
+    }
+  }
+  return holder;
+}
+
+} // namespace arbutuslb::core::gateway
--- /dev/null
+++ b/src/arbutuslb/core/gateway/rollout_conductor.cc
@@ -0,0 +1,255 @@
+#include "arbutuslb/core/gateway/rollout_conductor.h"
+
+#include "arbutuslb/core/base/hash.h"
+#include "arbutuslb/core/moves/judge.h"
+
+#include <algorithm>
+
+namespace arbutuslb::core::gateway {
+namespace {
+
+constexpr std::chrono::milliseconds judge_period{200};
+constexpr std::chrono::seconds mark_period{1};
+// Kept free at the end of the stated time for recording the outcome.
+constexpr std::chrono::milliseconds record_reserve{2500};
+// Requests at the old version end within this time after the new one has all traffic.
+constexpr std::chrono::milliseconds settle_time{1200};
+constexpr std::chrono::milliseconds record_retry{500};
+constexpr int full_share_permille = 1000;
+// Upstreams of one service differ in speed, so only a multiple beyond their spread is a fault.
+constexpr double max_latency_ratio = 3.0;
+constexpr const char* old_label = "old";
+constexpr const char* new_label = "new";
+
+const char* to_string(rollout_phase phase) {
+  switch (phase) {
+  case rollout_phase::running:
+    return "running";
+  case rollout_phase::rolled_back:
+    return "rolled_back";
+  case rollout_phase::completed:
+    return "completed";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+std::string rollout_conductor::label_of(const rollout& value, const std::string& version) {
+  return version == value.order.target_version ? new_label : old_label;
+}
+
+void rollout_conductor::on_orders() {
+  const auto& ordered = shared_.orders.rollouts();
+  std::erase_if(rollouts_, [&](const auto& item) { return !ordered.contains(item.first); });
+  for (const auto& [service, active] : ordered) {
+    rollout& value = rollouts_[service];
+    if (value.id == active.id) {
+      continue;
+    }
+    value = rollout{};
+    value.id = active.id;
+    value.order = active.order;
+    value.started = shared_.now;
+    value.step_since = shared_.now;
+    shared_.write(engine::severity::info, "rollout_ordered",
+                  {{"service", service},
+                   {"version", active.order.target_version},
+                   {"id", std::to_string(active.id)}});
+  }
+}
+
+void rollout_conductor::advance(rollout& value, int share_permille, rollout_phase phase) {
+  const bool is_later_phase = phase > value.phase;
+  const bool is_higher = share_permille > value.share_permille;
+  if (!is_later_phase && !is_higher) {
+    return;
+  }
+  if (is_later_phase) {
+    value.phase = phase;
+    value.phase_since = shared_.now;
+  }
+  if (is_higher) {
+    value.share_permille = share_permille;
+    value.step_since = shared_.now;
+  }
+  shared_.wants_report = true;
+  shared_.write(engine::severity::info, "rollout_step",
+                {{"service", value.order.service},
+                 {"version", value.order.target_version},
+                 {"id", std::to_string(value.id)},
+                 {"share_permille", std::to_string(value.share_permille)},
+                 {"phase", to_string(value.phase)}});
+}
+
+void rollout_conductor::on_report(const peer_report& report) {
+  for (const rollout_progress& item : report.rollouts) {
+    for (auto& [service, value] : rollouts_) {
+      if (value.id == item.id) {
+        advance(value, item.share_permille, item.phase);
+      }
+    }
+  }
+  for (const protocol::evidence_report& item : report.evidence) {
+    for (auto& [service, value] : rollouts_) {
+      if (value.id == item.move_id) {
+        value.evidence.merge(member_id{hash_bytes(report.host)}, incarnation{report.boot}, item);
+      }
+    }
+  }
+}
+
+void rollout_conductor::on_outcomes(const outcomes_read& known) {
+  outcomes_ = known.outcomes;
+  outcomes_end_ = known.end_offset;
+  outcomes_known_ = true;
+  for (const outcomes_read::outcome& item : known.outcomes) {
+    const auto found = rollouts_.find(item.service);
+    if (found == rollouts_.end() || item.phase == rollout_phase::running ||
+        item.target_version != found->second.order.target_version) {
+      continue;
+    }
+    rollout& value = found->second;
+    value.is_recorded = true;
+    if (value.phase != item.phase) {
+      // The first record stands, whatever was concluded here.
+      value.phase = rollout_phase::running;
+      advance(value, value.share_permille, item.phase);
+    }
+  }
+}
+
+void rollout_conductor::on_recorded(const outcome_recorded& result) {
+  const auto found = rollouts_.find(result.service);
+  if (found != rollouts_.end()) {
+    found->second.is_recording = false;
+    found->second.is_recorded = found->second.is_recorded || result.is_recorded;
+    found->second.record_after = shared_.now + record_retry;
+  }
+  if (!result.is_recorded) {
+    outcomes_known_ = false;
+    shared_.act(read_outcomes{});
+  }
+}
+
+void rollout_conductor::on_tick() {
+  if (shared_.now - marked_at_ >= mark_period) {
+    marked_at_ = shared_.now;
+    for (auto& [service, value] : rollouts_) {
+      value.evidence.mark(shared_.now);
+    }
+  }
+  if (shared_.now - judged_at_ < judge_period) {
+    return;
+  }
+  judged_at_ = shared_.now;
+  for (auto& [service, value] : rollouts_) {
+    if (shared_.directory.duty_holder("rollout " + service, shared_.now) != shared_.settings.host) {
+      continue;
+    }
+    if (value.phase == rollout_phase::running) {
+      judge(value);
+    }
+    if (value.phase != rollout_phase::running) {
+      record(value);
+    }
+  }
+}
+
+void rollout_conductor::judge(rollout& value) {
+  config::move move;
+  move.id = value.id;
+  move.service = value.order.service;
+  move.from = old_label;
+  move.to = new_label;
+  move.started = value.started;
+  move.by = value.started + value.order.time_allowed - record_reserve;
+  move.limits.max_latency_ratio = max_latency_ratio;
+  move.share_permille = value.share_permille;
+  const moves::judgement verdict =
+      moves::judge_move(move, value.evidence, 0, value.step_since, shared_.now);
+  switch (verdict.kind) {
+  case moves::judgement_kind::wait:
+    return;
+  case moves::judgement_kind::step:
+    advance(value, verdict.share_permille, rollout_phase::running);
+    break;
+  case moves::judgement_kind::brake:
+    advance(value, value.share_permille, rollout_phase::rolled_back);
+    break;
+  case moves::judgement_kind::done:
+    advance(value, full_share_permille, rollout_phase::completed);
+    break;
+  }
+  shared_.write(engine::severity::info, "rollout_judged",
+                {{"service", value.order.service},
+                 {"id", std::to_string(value.id)},
+                 {"reason", verdict.reason}});
+}
+
+void rollout_conductor::record(rollout& value) {
+  const bool is_settled = value.phase == rollout_phase::rolled_back ||
+                          shared_.now - value.phase_since >= settle_time;
+  if (value.is_recorded || value.is_recording || !is_settled || shared_.now < value.record_after) {
+    return;
+  }
+  if (!outcomes_known_) {
+    value.record_after = shared_.now + record_retry;
+    shared_.act(read_outcomes{});
+    return;
+  }
+  value.is_recording = true;
+  shared_.act(record_outcome{value.order.service, value.order.target_version, value.phase,
+                             outcomes_end_});
+}
+
+const rollout_conductor::rollout* rollout_conductor::find(std::string_view service) const {
+  const auto found = rollouts_.find(service);
+  return found == rollouts_.end() ? nullptr : &found->second;
+}
+
+bool rollout_conductor::takes_new_version(std::string_view service) {
+  const auto found = rollouts_.find(service);
+  if (found == rollouts_.end() || found->second.phase == rollout_phase::rolled_back) {
+    return false;
+  }
+  rollout& value = found->second;
+  if (value.phase == rollout_phase::completed) {
+    return true;
+  }
+  value.share_credit += value.share_permille;
+  if (value.share_credit < full_share_permille) {
+    return false;
+  }
+  value.share_credit -= full_share_permille;
+  return true;
+}
+
+bool rollout_conductor::allows(std::string_view service, const std::string& version,
+                               bool wants_new) const {
+  const rollout* value = find(service);
+  if (value == nullptr) {
+    // Versions that nobody has ordered traffic for may be started ahead of their order.
+    return version == shared_.directory.oldest_version(service);
+  }
+  const bool is_new = version == value->order.target_version;
+  switch (value->phase) {
+  case rollout_phase::rolled_back:
+    return !is_new;
+  case rollout_phase::completed:
+    return is_new;
+  case rollout_phase::running:
+    return is_new == wants_new;
+  }
+  return false;
+}
+
+std::vector<rollout_progress> rollout_conductor::progress() const {
+  std::vector<rollout_progress> all;
+  for (const auto& [service, value] : rollouts_) {
+    all.push_back({value.id, value.share_permille, value.phase});
+  }
+  return all;
+}
+
+} // namespace arbutuslb::core::gateway
--- /dev/null
+++ b/src/arbutuslb/core/gateway/run_queue.cc
@@ -0,0 +1,110 @@
+#include "arbutuslb/core/gateway/run_queue.h"
+
+#include <algorithm>
+
+namespace arbutuslb::core::gateway {
+namespace {
+
+// Weight of the newest latency in the mean.
+constexpr double latency_weight = 0.1;
+
+} // namespace
+
+bool run_queue::may_start(time_point now) const {
+  if (in_flight_ >= limit_) {
+    return false;
+  }
+  if (rate_ <= 0) {
+    return true;
+  }
+  const auto is_recent = [now](time_point start) { return now - start < cold_rate_window; };
+  const auto recent = std::count_if(starts_.begin(), starts_.end(), is_recent);
+  return static_cast<double>(recent) + 1.0 <= std::max(1.0, rate_);
+}
+
+void run_queue::note_start(time_point now) {
+  ++in_flight_;
+  while (!starts_.empty() && now - starts_.front() >= cold_rate_window) {
+    starts_.pop_front();
+  }
+  starts_.push_back(now);
+}
+
+offer_verdict run_queue::offer(const waiting_run& request, time_point now) {
+  const auto is_urgent_enough = [&](const waiting_run& other) { return other.rank <= request.rank; };
+  const bool is_first = std::none_of(waiting_.begin(), waiting_.end(), is_urgent_enough);
+  if (is_first && may_start(now)) {
+    note_start(now);
+    return offer_verdict::run;
+  }
+  if (now + expected_wait(request.rank, now) > request.start_by) {
+    return offer_verdict::refused;
+  }
+  const auto is_after = [&](const waiting_run& other) { return other.rank > request.rank; };
+  waiting_.insert(std::find_if(waiting_.begin(), waiting_.end(), is_after), request);
+  return offer_verdict::queued;
+}
+
+duration run_queue::expected_wait(int rank, time_point now) const {
+  const auto is_ahead = [rank](const waiting_run& other) { return other.rank <= rank; };
+  const auto ahead = static_cast<double>(std::count_if(waiting_.begin(), waiting_.end(), is_ahead));
+  if (ahead == 0 && may_start(now)) {
+    return duration::zero();
+  }
+  const double mean = static_cast<double>(mean_latency_.count());
+  // Slots become free evenly over the mean latency.
+  double wait = mean * (ahead + 1.0) / static_cast<double>(std::max(1, limit_));
+  if (rate_ > 0) {
+    constexpr double microseconds = 1e6;
+    wait = std::max(wait, microseconds * (ahead + 1.0) / std::max(1.0, rate_));
+  }
+  return duration{static_cast<duration::rep>(wait)};
+}
+
+void run_queue::release(std::optional<duration> latency) {
+  --in_flight_;
+  if (latency) {
+    const double sample = static_cast<double>(latency->count());
+    const double mean = static_cast<double>(mean_latency_.count());
+    mean_latency_ = duration{static_cast<duration::rep>(mean + latency_weight * (sample - mean))};
+  }
+}
+
+std::optional<std::uint64_t> run_queue::next(time_point now) {
+  if (waiting_.empty() || !may_start(now)) {
+    return std::nullopt;
+  }
+  const std::uint64_t token = waiting_.front().token;
+  waiting_.pop_front();
+  note_start(now);
+  return token;
+}
+
+std::vector<std::uint64_t> run_queue::take_expired(time_point now) {
+  std::vector<std::uint64_t> expired;
+  const auto collect = [&](const waiting_run& item) {
+    if (now <= item.start_by) {
+      return false;
+    }
+    expired.push_back(item.token);
+    return true;
+  };
+  std::erase_if(waiting_, collect);
+  return expired;
+}
+
+std::vector<std::uint64_t> run_queue::take_all() {
+  std::vector<std::uint64_t> tokens;
+  for (const waiting_run& item : waiting_) {
+    tokens.push_back(item.token);
+  }
+  waiting_.clear();
+  return tokens;
+}
+
+bool run_queue::withdraw(std::uint64_t token) {
+  const auto has_token = [token](const waiting_run& item) { return item.token == token; };
+  return std::erase_if(waiting_, has_token) > 0;
+}
+
+} // namespace arbutuslb::core::gateway
--- /dev/null
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -0,0 +1,377 @@
+#include "arbutuslb/core/gateway/upstream_gate.h"
+
+#include "arbutuslb/core/base/hash.h"
+
+#include <algorithm>
+
+namespace arbutuslb::core::gateway {
+namespace {
+
+constexpr int first_error_status = 500;
+// Weight of the newest answer in the means.
+constexpr double latency_weight = 0.1;
+constexpr double failure_weight = 0.05;
+constexpr double in_flight_weight = 0.05;
+// A request that is late already may still wait this long for a slot.
+constexpr std::chrono::milliseconds late_wait{100};
+// A pause at least this long is asked of a refused caller.
+constexpr std::chrono::milliseconds min_retry_after{50};
+// An upstream of a domain that returns is held to be cold until its heartbeat says otherwise.
+constexpr std::chrono::seconds assumed_cold_time{3};
+constexpr double permille = 1000.0;
+
+bool is_server_error(const run_result& result) {
+  return result.outcome == run_outcome::answered && result.answer.status >= first_error_status;
+}
+
+} // namespace
+
+upstream_gate::upstream_gate(gateway_context& shared, const rollout_conductor& rollouts)
+    : shared_(shared), rollouts_(rollouts) {}
+
+// --- taking a request ---
+
+void upstream_gate::on_peer_request(const run_requested& request) {
+  accept(false, request.token, request.content);
+}
+
+void upstream_gate::on_local_request(std::uint64_t sending, run_request request) {
+  accept(true, sending, std::move(request));
+}
+
+void upstream_gate::accept(bool is_local, std::uint64_t reply_token, run_request request) {
+  const std::uint64_t token = shared_.next_number();
+  run fresh;
+  fresh.is_local = is_local;
+  fresh.reply_token = reply_token;
+  fresh.arrived = shared_.now;
+  fresh.request = std::move(request);
+  const std::string reason = reason_to_refuse(fresh.request);
+  if (!reason.empty()) {
+    refuse(fresh, reason, duration::zero());
+    return;
+  }
+  update_limits();
+  const waiting_run wanted{token, fresh.request.rank, latest_start(fresh.request)};
+  const offer_verdict verdict = queue_.offer(wanted, shared_.now);
+  if (verdict == offer_verdict::refused) {
+    refuse(fresh, "upstream is full", queue_.expected_wait(fresh.request.rank, shared_.now));
+    return;
+  }
+  (is_local ? tokens_by_local_ : tokens_by_peer_)[reply_token] = token;
+  runs_.emplace(token, std::move(fresh));
+  if (verdict == offer_verdict::run) {
+    start(token);
+  }
+}
+
+std::string upstream_gate::reason_to_refuse(const run_request& request) const {
+  if (shared_.is_stopping) {
+    return "daemon is leaving";
+  }
+  if (!shared_.registry.is_usable(shared_.now)) {
+    return "upstream is not ready";
+  }
+  const known_upstream& known = *shared_.registry.known();
+  if (known.instance_id != request.instance_id) {
+    return "another upstream was meant";
+  }
+  if (shared_.orders.is_withdrawn(shared_.settings.domain)) {
+    return "failure domain is withdrawn";
+  }
+  const rollout_conductor::rollout* rollout = rollouts_.find(known.service);
+  if (rollout != nullptr && rollout->phase == rollout_phase::rolled_back &&
+      known.version == rollout->order.target_version) {
+    return "version was rolled back";
+  }
+  return {};
+}
+
+duration upstream_gate::route_mean(const std::string& route) const {
+  const auto found = route_means_.find(route);
+  return found == route_means_.end() ? queue_.mean_latency()
+                                     : duration{static_cast<duration::rep>(found->second)};
+}
+
+time_point upstream_gate::latest_start(const run_request& request) const {
+  const duration mean = route_mean(request.route);
+  const duration useful = std::max<duration>(request.target_time_left - mean, late_wait);
+  const duration possible = request.time_left - mean;
+  return shared_.now + std::max(duration::zero(), std::min(useful, possible));
+}
+
+void upstream_gate::update_limits() {
+  const std::optional<known_upstream>& known = shared_.registry.known();
+  if (!known) {
+    return;
+  }
+  queue_.set_limit(known->slots);
+  double rate = 0;
+  if (shared_.registry.is_cold(shared_.now) && shared_.orders.configuration()) {
+    const service_policy* policy = shared_.orders.configuration()->find_service(known->service);
+    rate = policy == nullptr ? 0 : policy->cold_rate;
+  }
+  queue_.set_rate(rate);
+}
+
+void upstream_gate::start(std::uint64_t token) {
+  run& value = runs_.at(token);
+  value.sending = shared_.next_number();
+  value.started = shared_.now;
+  tokens_by_sending_[value.sending] = token;
+  ++shared_.totals.runs;
+  send_to_upstream sending;
+  sending.sending = value.sending;
+  sending.address = shared_.registry.known()->address;
+  sending.request = value.request;
+  sending.request.time_left -= shared_.now - value.arrived;
+  shared_.act(std::move(sending));
+}
+
+void upstream_gate::start_waiting() {
+  if (!shared_.registry.is_usable(shared_.now)) {
+    refuse_waiting("upstream is not ready");
+    return;
+  }
+  update_limits();
+  for (std::optional<std::uint64_t> token = queue_.next(shared_.now); token;
+       token = queue_.next(shared_.now)) {
+    start(*token);
+  }
+}
+
+// --- ends ---
+
+bool upstream_gate::on_sending_ended(const sending_ended& end) {
+  const auto found = tokens_by_sending_.find(end.sending);
+  if (found == tokens_by_sending_.end()) {
+    return false;
+  }
+  const std::uint64_t token = found->second;
+  tokens_by_sending_.erase(found);
+  const run ended = std::move(runs_.at(token));
+  runs_.erase(token);
+  (ended.is_local ? tokens_by_local_ : tokens_by_peer_).erase(ended.reply_token);
+  note_end(ended, end);
+  if (!ended.is_abandoned) {
+    reply(ended, end.result);
+  }
+  start_waiting();
+  return true;
+}
+
+void upstream_gate::note_end(const run& ended, const sending_ended& end) {
+  const duration latency = shared_.now - ended.started;
+  const bool is_answer = end.result.outcome == run_outcome::answered;
+  queue_.release(is_answer ? std::optional<duration>(latency) : std::nullopt);
+  const bool has_failed = !is_answer || is_server_error(end.result);
+  failed_share_ += failure_weight * ((has_failed ? 1.0 : 0.0) - failed_share_);
+  if (end.is_unreachable) {
+    shared_.registry.on_unreachable();
+    shared_.wants_report = true;
+    shared_.write(engine::severity::warning, "upstream_unreachable",
+                  {{"instance", ended.request.instance_id}});
+  }
+  if (!is_answer) {
+    return;
+  }
+  shared_.registry.on_response(shared_.now);
+  const double sample = static_cast<double>(latency.count());
+  const auto [mean, is_first] = route_means_.try_emplace(ended.request.route, sample);
+  mean->second += latency_weight * (sample - mean->second);
+  if (ended.request.rollout_share_permille >= 0) {
+    evidence_.note(ended.request.route, ended.request.rollout_share_permille,
+                   has_failed ? moves::run_outcome::error : moves::run_outcome::good, latency);
+  }
+}
+
+void upstream_gate::reply(const run& ended, run_result result) {
+  result.in_flight = queue_.in_flight();
+  result.waiting = static_cast<int>(queue_.waiting());
+  if (ended.is_local) {
+    local_results_.push_back({ended.reply_token, std::move(result)});
+  } else {
+    shared_.act(answer_peer{ended.reply_token, std::move(result)});
+  }
+}
+
+void upstream_gate::refuse(const run& refused, const std::string& reason, duration retry_after) {
+  ++shared_.totals.runs_refused;
+  run_result result;
+  result.outcome = run_outcome::not_run;
+  result.reason = reason;
+  result.retry_after = std::max<duration>(retry_after, min_retry_after);
+  shared_.write(engine::severity::info, "run_refused",
+                {{"id", refused.request.content.attempt_id},
+                 {"reason", reason},
+                 {"in_flight", std::to_string(queue_.in_flight())},
+                 {"waiting", std::to_string(queue_.waiting())},
+                 {"limit", std::to_string(queue_.limit())}});
+  reply(refused, std::move(result));
+}
+
+void upstream_gate::refuse_waiting(const std::string& reason) {
+  for (const std::uint64_t token : queue_.take_all()) {
+    const run refused = std::move(runs_.at(token));
+    runs_.erase(token);
+    (refused.is_local ? tokens_by_local_ : tokens_by_peer_).erase(refused.reply_token);
+    refuse(refused, reason, duration::zero());
+  }
+}
+
+void upstream_gate::on_peer_left(std::uint64_t token) {
+  abandon(false, token);
+}
+
+void upstream_gate::cancel_local(std::uint64_t sending) {
+  abandon(true, sending);
+}
+
+// A waiting request is dropped. A running one is broken off only if it may run again; the outcome
+// of the others is worth more than their slot.
+void upstream_gate::abandon(bool is_local, std::uint64_t reply_token) {
+  std::map<std::uint64_t, std::uint64_t>& tokens = is_local ? tokens_by_local_ : tokens_by_peer_;
+  const auto found = tokens.find(reply_token);
+  if (found == tokens.end()) {
+    return;
+  }
+  const std::uint64_t token = found->second;
+  tokens.erase(found);
+  run& value = runs_.at(token);
+  if (queue_.withdraw(token)) {
+    runs_.erase(token);
+    return;
+  }
+  if (!value.request.is_idempotent) {
+    value.is_abandoned = true;
+    return;
+  }
+  shared_.act(cancel_sending{value.sending});
+  tokens_by_sending_.erase(value.sending);
+  runs_.erase(token);
+  queue_.release(std::nullopt);
+  start_waiting();
+}
+
+// --- the upstream's life ---
+
+void upstream_gate::on_heartbeat(const heartbeat_received& value) {
+  const std::optional<known_upstream> before = shared_.registry.known();
+  const heartbeat_verdict verdict = shared_.registry.on_heartbeat(value.content, shared_.now);
+  const bool is_accepted = verdict == heartbeat_verdict::accepted;
+  shared_.act(acknowledge_heartbeat{value.token, verdict != heartbeat_verdict::foreign,
+                                    to_string(verdict)});
+  if (!is_accepted) {
+    ++shared_.totals.heartbeats_refused;
+    shared_.write(engine::severity::warning, "heartbeat_ignored",
+                  {{"instance", value.content.instance_id},
+                   {"sequence", std::to_string(value.content.sequence)},
+                   {"reason", to_string(verdict)}});
+    return;
+  }
+  const known_upstream& known = *shared_.registry.known();
+  const bool is_new = !before || before->instance_id != known.instance_id ||
+                      before->started_ms != known.started_ms;
+  if (is_new || before->state != known.state) {
+    shared_.wants_report = true;
+    shared_.write(engine::severity::info, "upstream_state",
+                  {{"instance", known.instance_id},
+                   {"service", known.service},
+                   {"version", known.version},
+                   {"state", known.state == upstream_lifecycle::ready ? "ready" : "draining"},
+                   {"cold_ms", std::to_string(to_milliseconds(value.content.cold_for))},
+                   {"sequence", std::to_string(known.sequence)}});
+  }
+  if (is_new) {
+    failed_share_ = 0;
+    route_means_.clear();
+  }
+  if (known.state != upstream_lifecycle::ready) {
+    refuse_waiting("upstream is leaving");
+  } else {
+    start_waiting();
+  }
+}
+
+void upstream_gate::on_goodbye(const goodbye_received& value) {
+  const bool is_known = shared_.registry.on_goodbye(value.instance_id, shared_.now);
+  shared_.act(acknowledge_heartbeat{value.token, true, "gone"});
+  shared_.write(engine::severity::info, "upstream_state",
+                {{"instance", value.instance_id},
+                 {"state", "gone"},
+                 {"known", is_known ? "true" : "false"}});
+  shared_.wants_report = true;
+  if (is_known) {
+    refuse_waiting("upstream is leaving");
+  }
+}
+
+void upstream_gate::on_orders() {
+  const bool is_withdrawn = shared_.orders.is_withdrawn(shared_.settings.domain);
+  if (was_withdrawn_ != is_withdrawn) {
+    shared_.wants_report = true;
+    if (is_withdrawn) {
+      refuse_waiting("failure domain is withdrawn");
+    } else {
+      shared_.registry.assume_cold(shared_.now + assumed_cold_time);
+    }
+  }
+  was_withdrawn_ = is_withdrawn;
+}
+
+void upstream_gate::on_tick() {
+  for (const std::uint64_t token : queue_.take_expired(shared_.now)) {
+    const run refused = std::move(runs_.at(token));
+    runs_.erase(token);
+    (refused.is_local ? tokens_by_local_ : tokens_by_peer_).erase(refused.reply_token);
+    refuse(refused, "no slot in time", queue_.expected_wait(refused.request.rank, shared_.now));
+  }
+  if (queue_.waiting() > 0) {
+    start_waiting();
+  }
+  mean_in_flight_ += in_flight_weight * (queue_.in_flight() - mean_in_flight_);
+}
+
+void upstream_gate::describe(peer_report& report) {
+  const std::optional<known_upstream>& known = shared_.registry.known();
+  report.service = known ? known->service : shared_.settings.service;
+  if (!known) {
+    return;
+  }
+  update_limits();
+  report.instance_id = known->instance_id;
+  report.version = known->version;
+  report.upstream_started_ms = known->started_ms;
+  report.is_usable = shared_.registry.is_usable(shared_.now) &&
+                     !shared_.orders.is_withdrawn(shared_.settings.domain);
+  report.limit = queue_.limit();
+  report.in_flight = queue_.in_flight();
+  report.waiting = static_cast<int>(queue_.waiting());
+  report.failed_permille = static_cast<int>(permille * failed_share_);
+  report.mean_latency = queue_.mean_latency();
+  for (const auto& [route, mean] : route_means_) {
+    report.routes.push_back({static_cast<std::uint32_t>(hash_bytes(route)),
+                             duration{static_cast<duration::rep>(mean)}});
+  }
+  if (shared_.registry.is_cold(shared_.now) && shared_.orders.configuration()) {
+    const service_policy* policy = shared_.orders.configuration()->find_service(known->service);
+    report.cold_rate = policy == nullptr ? 0 : policy->cold_rate;
+  }
+  const rollout_conductor::rollout* rollout = rollouts_.find(known->service);
+  if (rollout == nullptr || rollout->phase != rollout_phase::running) {
+    return;
+  }
+  if (evidence_id_ != rollout->id) {
+    evidence_id_ = rollout->id;
+    evidence_ = {};
+  }
+  protocol::evidence_report evidence;
+  evidence.move_id = rollout->id;
+  evidence.version = rollout_conductor::label_of(*rollout, known->version);
+  evidence.cells = evidence_.cells();
+  evidence.limit = queue_.limit();
+  evidence.mean_in_flight = mean_in_flight_;
+  report.evidence.push_back(std::move(evidence));
+}
+
+} // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/routing/retry_budget.h
+++ b/src/arbutuslb/core/routing/retry_budget.h
@@ -8,8 +8,11 @@
 // Not thread-safe.
 class retry_budget {
 public:
+  // `max_tokens`: retries that may come at once.
+  explicit retry_budget(double max_tokens = 10.0) : max_tokens_(max_tokens), tokens_(max_tokens) {}
+
   // Each call earns `fraction` of a retry.
-  void on_call(double fraction) { tokens_ = std::min(max_tokens, tokens_ + fraction); }
+  void on_call(double fraction) { tokens_ = std::min(max_tokens_, tokens_ + fraction); }
 
   // Takes one retry; returns false if none is left.
   bool take() {
@@ -21,8 +24,8 @@
   }
 
 private:
-  static constexpr double max_tokens = 10.0;
-  double tokens_ = max_tokens;
+  double max_tokens_;
+  double tokens_;
 };
 
 } // namespace arbutuslb::core::routing
--- a/src/arbutuslb/main/main.cc
+++ b/src/arbutuslb/main/main.cc
@@ -2,11 +2,13 @@
 
 #include "arbutuslb/main/ctl.h"
 #include "arbutuslb/runtime/daemon_host.h"
+#include "arbutuslb/runtime/gateway_host.h"
 #include "arbutuslb/runtime/logging.h"
 
 #include <cstring>
 #include <getopt.h>
 #include <iostream>
+#include <optional>
 
 namespace arbutuslb::main {
 namespace {
@@ -16,6 +18,7 @@
 constexpr int exit_wrong_input = 2;
 
 constexpr const char* usage = "usage: arbutuslb daemon [--check] SETTINGS\n"
+                              "       arbutuslb gateway [--check] SETTINGS\n"
                               "       arbutuslb ctl [options] COMMAND...\n"
                               "       arbutuslb --version | --help\n";
 
@@ -25,42 +28,61 @@
     "  -c, --check  check the settings and stop: exit code 0 or 2\n"
     "  -h, --help   print this\n";
 
-int run_daemon(int argc, char** argv) {
+constexpr const char* gateway_usage =
+    "usage: arbutuslb gateway [--check] SETTINGS\n"
+    "  SETTINGS     JSON with comments; see deploy/daemon.json\n"
+    "  -c, --check  check the settings and stop: exit code 0 or 2\n"
+    "  -h, --help   print this\n";
+
+struct settings_arguments {
+  bool is_check = false;
+  std::string path;
+};
+
+// Reads the arguments of a subcommand that takes a settings file. Returns nothing, with the exit
+// code set, if the process should end.
+std::optional<settings_arguments> read_arguments(int argc, char** argv, const char* help,
+                                                 int& exit_code) {
   const option long_options[] = {{"check", no_argument, nullptr, 'c'},
                                  {"help", no_argument, nullptr, 'h'},
                                  {nullptr, 0, nullptr, 0}};
-  bool check = false;
+  settings_arguments arguments;
   int choice = 0;
   while ((choice = getopt_long(argc, argv, "ch", long_options, nullptr)) != -1) {
     if (choice == 'h') {
-      std::cout << daemon_usage;
-      return 0;
+      std::cout << help;
+      exit_code = 0;
+      return std::nullopt;
     }
     if (choice != 'c') {
-      std::cerr << daemon_usage;
-      return exit_wrong_input;
+      std::cerr << help;
+      exit_code = exit_wrong_input;
+      return std::nullopt;
     }
-    check = true;
+    arguments.is_check = true;
   }
   if (optind + 1 != argc) {
-    std::cerr << daemon_usage;
-    return exit_wrong_input;
+    std::cerr << help;
+    exit_code = exit_wrong_input;
+    return std::nullopt;
   }
-  runtime::daemon_settings settings;
+  arguments.path = argv[optind];
+  return arguments;
+}
+
+// Runs a daemon until it stops. `Parse` reads its settings from a text, `Run` runs it.
+template <typename Parse, typename Run>
+int run_with_settings(const settings_arguments& arguments, Parse parse, Run run) {
   try {
-    settings = runtime::read_settings(argv[optind]);
+    const auto settings = parse(runtime::read_file(arguments.path));
+    if (arguments.is_check) {
+      std::cout << "settings=ok\n";
+      return 0;
+    }
+    run(settings);
   } catch (const core::findings_error& error) {
     std::cerr << error.what() << "\n";
     return exit_wrong_input;
-  }
-  if (check) {
-    std::cout << "settings=ok\n";
-    return 0;
-  }
-  runtime::start_logging("arbutuslb");
-  try {
-    runtime::daemon_host host(settings);
-    host.run();
   } catch (const std::exception& error) {
     std::cerr << "event=daemon_failed reason=\"" << error.what() << "\"\n";
     return exit_failure;
@@ -68,11 +90,43 @@
   return 0;
 }
 
+int run_daemon(int argc, char** argv) {
+  int exit_code = 0;
+  const std::optional<settings_arguments> arguments =
+      read_arguments(argc, argv, daemon_usage, exit_code);
+  if (!arguments) {
+    return exit_code;
+  }
+  return run_with_settings(*arguments, runtime::parse_settings,
+                           [](const runtime::daemon_settings& settings) {
+                             runtime::start_logging("arbutuslb");
+                             runtime::daemon_host host(settings);
+                             host.run();
+                           });
+}
+
+int run_gateway(int argc, char** argv) {
+  int exit_code = 0;
+  const std::optional<settings_arguments> arguments =
+      read_arguments(argc, argv, gateway_usage, exit_code);
+  if (!arguments) {
+    return exit_code;
+  }
+  return run_with_settings(*arguments, runtime::parse_gateway_settings,
+                           [&](const runtime::gateway_host_settings& settings) {
+                             runtime::gateway_host host(settings, arguments->path);
+                             host.run();
+                           });
+}
+
 int run(int argc, char** argv) {
   const std::string command = argc > 1 ? argv[1] : "";
   if (command == "daemon") {
     return run_daemon(argc - 1, argv + 1);
   }
+  if (command == "gateway") {
+    return run_gateway(argc - 1, argv + 1);
+  }
   if (command == "ctl") {
     return run_ctl(argc - 1, argv + 1);
   }
--- /dev/null
+++ b/src/arbutuslb/platform/heartbeats.cc
@@ -0,0 +1,65 @@
+#include "arbutuslb/platform/heartbeats.h"
+
+#include "arbutuslb/core/base/object_reader.h"
+
+namespace arbutuslb::platform {
+namespace {
+
+using core::finding_list;
+using core::json;
+using core::object_reader;
+namespace gateway = core::gateway;
+
+constexpr std::string_view instances_path = "/instances/";
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr std::int64_t max_slots = 100'000;
+constexpr std::int64_t max_number = std::int64_t{1} << 62;
+
+gateway::heartbeat decode_heartbeat(std::string instance_id, const std::string& body) {
+  finding_list findings;
+  const json parsed = core::parse_json_with_comments(body);
+  object_reader reader(parsed, "", findings);
+  gateway::heartbeat value;
+  value.instance_id = std::move(instance_id);
+  value.address = reader.required_string("address");
+  // The start of the process, in milliseconds since the epoch.
+  value.started_ms = reader.required_integer("born", 0, max_number);
+  const object_reader::element described = reader.optional_object("information");
+  object_reader information(*described.value, described.place, findings);
+  value.service = information.required_string("service");
+  value.version = information.required_string("version");
+  value.slots = static_cast<int>(information.required_integer("capacitySlots", 1, max_slots));
+  const object_reader::element reported = reader.optional_object("status");
+  object_reader status(*reported.value, reported.place, findings);
+  value.sequence = static_cast<std::uint64_t>(status.required_integer("sequence", 0, max_number));
+  value.state = status.required_choice("state", {"ready", "draining"}) == "ready"
+                    ? gateway::upstream_lifecycle::ready
+                    : gateway::upstream_lifecycle::draining;
+  value.cold_for = status.optional_duration("coldRemaining", core::duration::zero());
+  findings.throw_if_any();
+  return value;
+}
+
+} // namespace
+
+std::variant<gateway::heartbeat, goodbye, unknown_call>
+decode_upstream_call(const core::http_request& request) {
+  if (!request.target.starts_with(instances_path)) {
+    return unknown_call{status_not_found, "unknown path " + request.target};
+  }
+  const std::string instance_id = request.target.substr(instances_path.size());
+  if (request.method == "DELETE") {
+    return goodbye{instance_id};
+  }
+  if (request.method != "PUT") {
+    return unknown_call{status_not_found, "unknown method " + request.method};
+  }
+  try {
+    return decode_heartbeat(instance_id, request.body);
+  } catch (const core::findings_error& error) {
+    return unknown_call{status_bad_request, error.what()};
+  }
+}
+
+} // namespace arbutuslb::platform
--- /dev/null
+++ b/src/arbutuslb/platform/requests.cc
@@ -0,0 +1,97 @@
+#include "arbutuslb/platform/requests.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace arbutuslb::platform {
+namespace {
+
+namespace gateway = core::gateway;
+
+constexpr const char* attempt_field = "X-Attempt-Identifier";
+constexpr const char* time_left_field = "X-Deadline-Remaining"; // milliseconds
+constexpr const char* instance_field = "X-Expected-Instance";
+constexpr const char* caller_field = "X-Calling-Service";
+constexpr const char* not_run_field = "X-Not-Executed";
+constexpr const char* signature_field = "X-Response-Signature";
+
+constexpr int status_misdirected = 421;
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+
+// Set by the daemons themselves, whatever the caller sent.
+constexpr std::array<const char*, 5> own_fields{attempt_field, time_left_field, instance_field,
+                                                caller_field, "Host"};
+
+core::duration parse_time_left(const std::string& text) {
+  double milliseconds = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  constexpr double longest = 1e9;
+  if (parsed.ec != std::errc{} || milliseconds <= 0 || milliseconds > longest) {
+    return {};
+  }
+  return std::chrono::duration_cast<core::duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+} // namespace
+
+gateway::call decode_call(core::http_request request) {
+  gateway::call value;
+  if (const std::string* id = core::find_header(request.headers, attempt_field)) {
+    value.attempt_id = *id;
+  }
+  if (const std::string* left = core::find_header(request.headers, time_left_field)) {
+    value.time_left = parse_time_left(*left);
+  }
+  if (const std::string* host = core::find_header(request.headers, "Host")) {
+    value.host = *host;
+  }
+  std::erase_if(request.headers, [](const auto& field) {
+    return std::any_of(own_fields.begin(), own_fields.end(), [&](const char* name) {
+      return core::equal_ignoring_case(name, field.first);
+    });
+  });
+  value.message = std::move(request);
+  return value;
+}
+
+core::http_request encode_run(const gateway::run_request& request) {
+  core::http_request message = request.content.message;
+  message.headers.emplace_back("Host", request.content.host);
+  message.headers.emplace_back(attempt_field, request.content.attempt_id);
+  message.headers.emplace_back(
+      time_left_field, std::to_string(std::max<std::int64_t>(1, core::to_milliseconds(request.time_left))));
+  message.headers.emplace_back(instance_field, request.instance_id);
+  message.headers.emplace_back(caller_field, request.caller_service);
+  return message;
+}
+
+bool is_answer_to(const core::http_response& answer, const std::string& attempt_id) {
+  const std::string* id = core::find_header(answer.headers, attempt_field);
+  return id == nullptr || *id == attempt_id;
+}
+
+gateway::run_result decode_answer(core::http_response answer) {
+  gateway::run_result result;
+  result.reached_upstream = true;
+  if (core::find_header(answer.headers, not_run_field) != nullptr ||
+      answer.status == status_misdirected) {
+    result.outcome = gateway::run_outcome::not_run;
+    result.reason = "upstream refused with status " + std::to_string(answer.status);
+    return result;
+  }
+  const bool is_success = answer.status >= first_success && answer.status < first_redirect;
+  if (is_success && core::find_header(answer.headers, signature_field) == nullptr) {
+    result.outcome = gateway::run_outcome::unknown;
+    result.reason = "the answer bears no signature";
+    return result;
+  }
+  result.outcome = gateway::run_outcome::answered;
+  result.answer = std::move(answer);
+  return result;
+}
+
+} // namespace arbutuslb::platform
--- /dev/null
+++ b/src/arbutuslb/platform/store_client.cc
@@ -0,0 +1,225 @@
+#include "arbutuslb/platform/store_client.h"
+
+#include "arbutuslb/core/base/object_reader.h"
+
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/endian/conversion.hpp>
+
+namespace arbutuslb::platform {
+namespace {
+
+using core::json;
+namespace http = runtime::http;
+
+constexpr int status_ok = 200;
+constexpr int status_conflict = 409;
+constexpr int status_gone = 410;
+constexpr int status_precondition_failed = 412;
+constexpr int first_server_error = 500;
+constexpr int status_unavailable = 503;
+constexpr int status_too_many = 429;
+// An answer takes a few milliseconds; a slow store up to some hundred times as long.
+constexpr std::chrono::milliseconds call_timeout{1500};
+constexpr std::chrono::milliseconds connect_timeout{500};
+// Kept by the store for long; a call on a connection that has ended is only repeated.
+constexpr std::chrono::seconds max_connection_idle{5};
+constexpr std::size_t length_size = 4;
+constexpr std::size_t read_header_size = 16; // end and first offset
+
+std::string decode_base64(std::string_view text) {
+  using namespace boost::archive::iterators;
+  using decoder = transform_width<binary_from_base64<const char*>, 8, 6>;
+  while (!text.empty() && text.back() == '=') {
+    text.remove_suffix(1);
+  }
+  // Only whole bytes are taken; the bits left over at the end are padding.
+  const std::size_t size = text.size() * 6 / 8;
+  std::string bytes;
+  bytes.reserve(size);
+  decoder position(text.data());
+  for (std::size_t i = 0; i < size; ++i, ++position) {
+    bytes.push_back(*position);
+  }
+  return bytes;
+}
+
+// Splits a record of a keyed topic: one byte for the length of the key, the key, the value.
+std::optional<store_record> split_record(std::string_view bytes, std::uint64_t offset) {
+  if (bytes.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t key_size = static_cast<unsigned char>(bytes.front());
+  if (bytes.size() < 1 + key_size) {
+    return std::nullopt;
+  }
+  return store_record{offset, std::string(bytes.substr(1, key_size)),
+                      std::string(bytes.substr(1 + key_size))};
+}
+
+read_result decode_records(std::string_view bytes, std::uint64_t from_offset) {
+  read_result result;
+  if (bytes.size() < read_header_size) {
+    result.reason = "answer is too short";
+    return result;
+  }
+  const auto* data = reinterpret_cast<const unsigned char*>(bytes.data());
+  result.end_offset = boost::endian::load_big_u64(data);
+  std::uint64_t offset = from_offset;
+  std::size_t at = read_header_size;
+  while (at + length_size <= bytes.size()) {
+    const std::size_t size = boost::endian::load_big_u32(data + at);
+    at += length_size;
+    if (at + size > bytes.size()) {
+      result.reason = "a record is cut short";
+      return result;
+    }
+    // A record that is not in the keyed form belongs to nobody here.
+    if (std::optional<store_record> record = split_record(bytes.substr(at, size), offset)) {
+      result.records.push_back(std::move(*record));
+    }
+    at += size;
+    ++offset;
+  }
+  result.status = read_status::ok;
+  return result;
+}
+
+std::string encode_record(const std::string& key, const std::string& value) {
+  std::string content;
+  content.push_back(static_cast<char>(key.size()));
+  content += key;
+  content += value;
+  std::array<unsigned char, length_size> length{};
+  boost::endian::store_big_u32(length.data(), static_cast<std::uint32_t>(content.size()));
+  return std::string(length.begin(), length.end()) + content;
+}
+
+read_result failed_read(const http::exchange_end& end) {
+  read_result result;
+  result.reason = end.outcome == http::exchange_outcome::answered
+                      ? "status " + std::to_string(end.answer.status)
+                      : "no answer";
+  return result;
+}
+
+append_result decode_append(const http::exchange_end& end) {
+  switch (end.outcome) {
+  case http::exchange_outcome::not_connected:
+    return {append_status::refused, "not connected"};
+  case http::exchange_outcome::broken:
+    return {append_status::unknown, "no answer"};
+  case http::exchange_outcome::answered:
+    break;
+  }
+  const int status = end.answer.status;
+  const std::string reason = "status " + std::to_string(status);
+  if (status == status_ok) {
+    return {append_status::appended, ""};
+  }
+  if (status == status_precondition_failed || status == status_conflict) {
+    return {append_status::conflict, reason};
+  }
+  const bool is_undone =
+      status < first_server_error || status == status_unavailable || status == status_too_many;
+  return {is_undone ? append_status::refused : append_status::unknown, reason};
+}
+
+} // namespace
+
+store_client::store_client(http::client& connections, const asio::ip::tcp::endpoint& address)
+    : connections_(connections), address_(address) {}
+
+std::uint64_t store_client::call(core::http_request request, core::duration timeout,
+                                 http::client::end_handler on_end) {
+  ++calls_;
+  request.headers.emplace_back("Host", address_.address().to_string());
+  http::send_options options;
+  options.connect_timeout = connect_timeout;
+  options.max_idle = max_connection_idle;
+  options.answer_timeout = timeout;
+  return connections_.send(address_, request, std::move(options), std::move(on_end));
+}
+
+void store_client::read_newest(const std::string& topic, std::function<void(read_result)> on_end) {
+  read_page(topic, "", {}, std::move(on_end));
+}
+
+void store_client::read_page(const std::string& topic, const std::string& after,
+                             read_result so_far, std::function<void(read_result)> on_end) {
+  core::http_request request;
+  request.method = "GET";
+  request.target = "/log-newest?topic=" + topic + "&part=0";
+  if (!after.empty()) {
+    request.target += "&after=" + after;
+  }
+  const auto on_answer = [this, topic, so_far = std::move(so_far),
+                          on_end = std::move(on_end)](http::exchange_end end) mutable {
+    if (end.outcome != http::exchange_outcome::answered || end.answer.status != status_ok) {
+      on_end(failed_read(end));
+      return;
+    }
+    const json page = json::parse(end.answer.body, nullptr, false);
+    if (!page.is_object() || !page.contains("items") || !page["items"].is_array()) {
+      so_far.reason = "the answer is not a page of records";
+      on_end(std::move(so_far));
+      return;
+    }
+    std::string last;
+    for (const json& item : page["items"]) {
+      last = item.value("key", "");
+      so_far.records.push_back({item.value("offset", std::uint64_t{0}), last,
+                                decode_base64(item.value("value", ""))});
+    }
+    // Records written between two pages are read again from the first page's end.
+    if (so_far.end_offset == 0) {
+      so_far.end_offset = page.value("endOffset", std::uint64_t{0});
+    }
+    if (page.value("more", false) && !last.empty()) {
+      read_page(topic, last, std::move(so_far), std::move(on_end));
+      return;
+    }
+    so_far.status = read_status::ok;
+    on_end(std::move(so_far));
+  };
+  call(std::move(request), call_timeout, on_answer);
+}
+
+std::uint64_t store_client::read_from(const std::string& topic, std::uint64_t from_offset,
+                                      core::duration wait,
+                                      std::function<void(read_result)> on_end) {
+  core::http_request request;
+  request.method = "GET";
+  request.target = "/log-read?topic=" + topic + "&part=0&from=" + std::to_string(from_offset) +
+                   "&waitMs=" + std::to_string(core::to_milliseconds(wait));
+  const auto on_answer = [from_offset, on_end = std::move(on_end)](const http::exchange_end& end) {
+    if (end.outcome == http::exchange_outcome::answered && end.answer.status == status_gone) {
+      read_result expired;
+      expired.status = read_status::expired;
+      on_end(std::move(expired));
+      return;
+    }
+    if (end.outcome != http::exchange_outcome::answered || end.answer.status != status_ok) {
+      on_end(failed_read(end));
+      return;
+    }
+    on_end(decode_records(end.answer.body, from_offset));
+  };
+  return call(std::move(request), wait + call_timeout, on_answer);
+}
+
+void store_client::append(const std::string& topic, const std::string& key,
+                          const std::string& value, std::optional<std::uint64_t> expected_end,
+                          std::function<void(append_result)> on_end) {
+  core::http_request request;
+  request.method = "POST";
+  request.target = "/log-append?topic=" + topic + "&part=0";
+  if (expected_end) {
+    request.target += "&at=" + std::to_string(*expected_end);
+  }
+  request.body = encode_record(key, value);
+  call(std::move(request), call_timeout,
+       [on_end = std::move(on_end)](const http::exchange_end& end) { on_end(decode_append(end)); });
+}
+
+} // namespace arbutuslb::platform
--- /dev/null
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -0,0 +1,567 @@
+#include "arbutuslb/runtime/gateway_host.h"
+
+#include "arbutuslb/core/base/finding.h"
+#include "arbutuslb/core/gateway/gateway_core.h"
+#include "arbutuslb/platform/heartbeats.h"
+#include "arbutuslb/platform/orders.h"
+#include "arbutuslb/platform/requests.h"
+#include "arbutuslb/runtime/clock.h"
+#include "arbutuslb/runtime/gateway_metrics.h"
+#include "arbutuslb/runtime/http/server.h"
+#include "arbutuslb/runtime/log_writer.h"
+#include "arbutuslb/runtime/order_follower.h"
+#include "arbutuslb/runtime/settings.h"
+#include "arbutuslb/runtime/wire/gateway_codec.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <random>
+#include <unistd.h>
+
+namespace arbutuslb::runtime {
+namespace {
+
+namespace gateway = core::gateway;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+constexpr const char* readiness_path = "/readiness";
+constexpr const char* run_path = "/run";
+constexpr const char* orders_path = "/orders";
+// Time-outs of connections are checked this often.
+constexpr std::chrono::milliseconds sweep_period{100};
+constexpr std::chrono::milliseconds peer_connect_timeout{250};
+constexpr std::chrono::milliseconds upstream_connect_timeout{300};
+// Idle longer than this, a connection may be about to be closed by its other end, and a request
+// that may run once only goes on a fresh one.
+constexpr std::chrono::milliseconds unsafe_max_idle{1500};
+constexpr std::chrono::seconds usual_max_idle{4};
+constexpr std::chrono::milliseconds fetch_timeout{1000};
+// In the last part of a planned stop, idle connections of callers are closed.
+constexpr std::chrono::milliseconds close_idle_after{2000};
+constexpr std::size_t max_datagram_size = 65507;
+
+std::uint64_t random_seed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+core::http_response plain_response(int status, std::string body = "") {
+  core::http_response response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+} // namespace
+
+struct gateway_host::state {
+  state(const gateway_host_settings& values, std::string path)
+      : settings(values), settings_path(std::move(path)),
+        core(values.core, random_seed(), clock.now()), log(STDOUT_FILENO),
+        signals(loop, SIGTERM, SIGINT, SIGHUP), timer(loop), peer_client(loop),
+        upstream_client(loop), store_connections(loop), store(store_connections, values.store),
+        follower(
+            loop, store, random_seed(),
+            [this](platform::read_result records, bool is_whole) {
+              take_orders(std::move(records), is_whole);
+            },
+            [this](bool is_in_contact, const std::string& reason) {
+              write_event(is_in_contact ? core::engine::severity::info
+                                        : core::engine::severity::warning,
+                          is_in_contact ? "store_regained" : "store_lost", {{"reason", reason}});
+            }),
+        callers(loop, values.callers,
+                {[this](std::uint64_t token, core::http_request request) {
+                   handle(gateway::call_received{token, platform::decode_call(std::move(request))});
+                 },
+                 [this](std::uint64_t token) { handle(gateway::caller_left{token}); }}),
+        peers(loop, values.peers,
+              {[this](std::uint64_t token, const core::http_request& request) {
+                 on_peer_request(token, request);
+               },
+               [this](std::uint64_t token) { handle(gateway::peer_left{token}); }}),
+        upstreams(loop, values.upstreams,
+                  {[this](std::uint64_t token, const core::http_request& request) {
+                     on_upstream_call(token, request);
+                   },
+                   [](std::uint64_t) {}}),
+        readiness(loop, values.readiness,
+                  {[this](std::uint64_t token, const core::http_request& request) {
+                     on_readiness(token, request);
+                   },
+                   [](std::uint64_t) {}}),
+        metrics(loop, values.metrics,
+                {[this](std::uint64_t token, const core::http_request&) {
+                   metrics.respond(token, plain_response(status_ok, render_metrics()));
+                 },
+                 [](std::uint64_t) {}}),
+        reports(loop, udp::endpoint(values.peers.address(), values.report_port)) {
+    reports.non_blocking(true);
+    write_event(core::engine::severity::info, "started",
+                {{"instance", settings.core.name}, {"domain", settings.core.domain}});
+    wait_for_signal();
+    wait_for_reports();
+    schedule_tick();
+    follower.start();
+  }
+
+  void write_event(core::engine::severity level, std::string name,
+                   std::vector<std::pair<std::string, std::string>> fields) {
+    log.write({level, std::move(name), std::move(fields)}, clock.now());
+  }
+
+  void handle(gateway::event value) {
+    for (gateway::action& item : core.handle(std::move(value), clock.now())) {
+      std::visit(performer{*this}, item);
+    }
+  }
+
+  struct performer {
+    state& host;
+    void operator()(const gateway::answer_caller& action) const {
+      host.callers.respond(action.token, action.answer);
+    }
+    void operator()(const gateway::answer_peer& action) const {
+      host.peers.respond(action.token,
+                         plain_response(status_ok, wire::encode(action.result)));
+    }
+    void operator()(const gateway::send_to_peer& action) const { host.send_to_peer(action); }
+    void operator()(const gateway::send_to_upstream& action) const {
+      host.send_to_upstream(action);
+    }
+    void operator()(const gateway::cancel_sending& action) const { host.cancel(action.sending); }
+    void operator()(const gateway::acknowledge_heartbeat& action) const {
+      host.upstreams.respond(action.token,
+                             action.is_accepted
+                                 ? plain_response(status_ok, "{}")
+                                 : plain_response(status_bad_request, action.reason));
+    }
+    void operator()(const gateway::send_report& action) const { host.send_report(action); }
+    void operator()(const gateway::fetch_orders& action) const { host.fetch_orders(action); }
+    void operator()(const gateway::find_peers&) const { host.find_peers(); }
+    void operator()(const gateway::read_outcomes&) const { host.read_outcomes(); }
+    void operator()(const gateway::record_outcome& action) const { host.record_outcome(action); }
+    void operator()(const core::engine::write_event& action) const {
+      host.log.write(action, host.clock.now());
+    }
+    void operator()(const gateway::exit_process&) const {
+      host.follower.stop();
+      host.log.flush();
+      host.loop.stop();
+    }
+  };
+
+  // --- requests ---
+
+  void send_to_peer(const gateway::send_to_peer& action) {
+    core::http_request request;
+    request.method = "POST";
+    request.target = run_path;
+    request.headers.emplace_back("Host", action.host);
+    request.body = wire::encode(action.request);
+    http::send_options options;
+    options.connect_timeout = peer_connect_timeout;
+    options.max_idle = action.request.is_idempotent ? core::duration{usual_max_idle}
+                                                    : core::duration{unsafe_max_idle};
+    const std::uint64_t sending = action.sending;
+    const tcp::endpoint address(asio::ip::make_address_v4(action.host), settings.peers.port());
+    const std::uint64_t exchange = peer_client.send(
+        address, request, std::move(options), [this, sending](const http::exchange_end& end) {
+          exchanges.erase(sending);
+          handle(decode_peer_answer(sending, end));
+        });
+    exchanges[sending] = {&peer_client, exchange};
+  }
+
+  static gateway::sending_ended decode_peer_answer(std::uint64_t sending,
+                                                   const http::exchange_end& end) {
+    gateway::sending_ended ended;
+    ended.sending = sending;
+    if (end.outcome == http::exchange_outcome::not_connected) {
+      ended.is_unreachable = true;
+      ended.result.outcome = gateway::run_outcome::not_run;
+      ended.result.reason = "peer is unreachable";
+      return ended;
+    }
+    ended.result.outcome = gateway::run_outcome::unknown;
+    ended.result.reached_upstream = true;
+    if (end.outcome == http::exchange_outcome::broken) {
+      ended.result.reason = "connection to the peer broke";
+      return ended;
+    }
+    try {
+      ended.result = wire::decode_run_result(end.answer.body);
+    } catch (const wire::codec_error& error) {
+      ended.result.reason = std::string("answer of the peer: ") + error.what();
+    }
+    return ended;
+  }
+
+  void send_to_upstream(const gateway::send_to_upstream& action) {
+    http::send_options options;
+    options.connect_timeout = upstream_connect_timeout;
+    options.max_idle = action.request.is_idempotent ? core::duration{usual_max_idle}
+                                                    : core::duration{unsafe_max_idle};
+    options.answer_timeout = action.request.time_left + std::chrono::milliseconds{20};
+    const std::string attempt_id = action.request.content.attempt_id;
+    options.is_own_answer = [attempt_id](const core::http_response& answer) {
+      return platform::is_answer_to(answer, attempt_id);
+    };
+    const std::uint64_t sending = action.sending;
+    const std::uint64_t exchange =
+        upstream_client.send(settings.upstream, platform::encode_run(action.request),
+                             std::move(options), [this, sending](http::exchange_end end) {
+                               exchanges.erase(sending);
+                               handle(decode_upstream_answer(sending, std::move(end)));
+                             });
+    exchanges[sending] = {&upstream_client, exchange};
+  }
+
+  static gateway::sending_ended decode_upstream_answer(std::uint64_t sending,
+                                                       http::exchange_end end) {
+    gateway::sending_ended ended;
+    ended.sending = sending;
+    switch (end.outcome) {
+    case http::exchange_outcome::not_connected:
+      ended.is_unreachable = true;
+      ended.result.outcome = gateway::run_outcome::not_run;
+      ended.result.reason = "upstream is unreachable";
+      break;
+    case http::exchange_outcome::broken:
+      ended.result.outcome = gateway::run_outcome::unknown;
+      ended.result.reached_upstream = true;
+      ended.result.reason = "connection to the upstream broke";
+      break;
+    case http::exchange_outcome::answered:
+      ended.result = platform::decode_answer(std::move(end.answer));
+      break;
+    }
+    return ended;
+  }
+
+  void cancel(std::uint64_t sending) {
+    const auto found = exchanges.find(sending);
+    if (found != exchanges.end()) {
+      found->second.first->cancel(found->second.second);
+      exchanges.erase(found);
+    }
+  }
+
+  void on_peer_request(std::uint64_t token, const core::http_request& request) {
+    try {
+      if (request.target == run_path) {
+        handle(gateway::run_requested{token, wire::decode_run_request(request.body)});
+      } else if (request.target == orders_path) {
+        peers.respond(token, plain_response(status_ok, encode_orders(request.body)));
+      } else {
+        peers.respond(token, plain_response(status_not_found));
+      }
+    } catch (const wire::codec_error& error) {
+      write_event(core::engine::severity::warning, "peer_message_malformed",
+                  {{"reason", error.what()}});
+      peers.respond(token, plain_response(status_bad_request));
+    }
+  }
+
+  void on_upstream_call(std::uint64_t token, const core::http_request& request) {
+    std::variant<gateway::heartbeat, platform::goodbye, platform::unknown_call> call =
+        platform::decode_upstream_call(request);
+    if (gateway::heartbeat* beat = std::get_if<gateway::heartbeat>(&call)) {
+      handle(gateway::heartbeat_received{token, std::move(*beat)});
+    } else if (platform::goodbye* leaving = std::get_if<platform::goodbye>(&call)) {
+      handle(gateway::goodbye_received{token, leaving->instance_id});
+    } else {
+      const platform::unknown_call& unknown = std::get<platform::unknown_call>(call);
+      write_event(core::engine::severity::warning, "heartbeat_malformed",
+                  {{"target", request.target}, {"reason", unknown.reason}});
+      upstreams.respond(token, plain_response(unknown.status, unknown.reason));
+    }
+  }
+
+  void on_readiness(std::uint64_t token, const core::http_request& request) {
+    const bool is_asked = request.target == readiness_path;
+    const int status = !is_asked           ? status_not_found
+                       : core.is_ready() ? status_ok
+                                         : status_unavailable;
+    readiness.respond(token, plain_response(status));
+  }
+
+  // --- the store and the operators' records ---
+
+  void take_orders(platform::read_result read, bool is_whole) {
+    gateway::orders_received orders;
+    orders.end_offset = read.end_offset;
+    orders.is_whole = is_whole;
+    for (platform::store_record& record : read.records) {
+      orders.records.push_back(platform::decode_order(record.offset, std::move(record.key),
+                                                      std::move(record.value)));
+    }
+    apply_orders(std::move(orders));
+  }
+
+  void apply_orders(gateway::orders_received orders) {
+    handle(std::move(orders));
+    const std::shared_ptr<const gateway::mesh_configuration>& configuration =
+        core.orders().configuration();
+    if (configuration && configuration->version != configured_version) {
+      configured_version = configuration->version;
+      http::server_options options;
+      options.limits.max_header_bytes = configuration->limits.max_header_bytes;
+      options.limits.max_body_bytes = configuration->limits.max_body_bytes;
+      options.header_timeout = configuration->limits.header_timeout;
+      options.idle_timeout = configuration->limits.idle_timeout;
+      callers.set_options(options);
+    }
+  }
+
+  std::string encode_orders(const std::string& request) {
+    const std::uint64_t from_offset = wire::decode_orders_request(request);
+    wire::orders_reply reply;
+    reply.end_offset = core.orders().end_offset();
+    for (const auto& [key, record] : core.orders().records()) {
+      if (record.offset >= from_offset) {
+        reply.orders.push_back({record.offset, key, record.raw});
+      }
+    }
+    return wire::encode(reply);
+  }
+
+  void fetch_orders(const gateway::fetch_orders& action) {
+    follower.restart();
+    core::http_request request;
+    request.method = "POST";
+    request.target = orders_path;
+    request.headers.emplace_back("Host", action.host);
+    request.body = wire::encode_orders_request(action.from_offset);
+    http::send_options options;
+    options.connect_timeout = peer_connect_timeout;
+    options.answer_timeout = fetch_timeout;
+    const tcp::endpoint address(asio::ip::make_address_v4(action.host), settings.peers.port());
+    peer_client.send(address, request, std::move(options), [this](const http::exchange_end& end) {
+      if (end.outcome == http::exchange_outcome::answered) {
+        take_fetched_orders(end.answer.body);
+      }
+    });
+  }
+
+  void take_fetched_orders(const std::string& bytes) {
+    gateway::orders_received orders;
+    try {
+      wire::orders_reply reply = wire::decode_orders_reply(bytes);
+      orders.end_offset = reply.end_offset;
+      for (wire::stored_order& order : reply.orders) {
+        orders.records.push_back(platform::decode_order(order.offset, std::move(order.key),
+                                                        std::move(order.value)));
+      }
+    } catch (const wire::codec_error& error) {
+      write_event(core::engine::severity::warning, "peer_message_malformed",
+                  {{"reason", error.what()}});
+      return;
+    }
+    follower.skip_to(orders.end_offset);
+    apply_orders(std::move(orders));
+  }
+
+  void find_peers() {
+    if (!is_registered) {
+      store.append(platform::members_topic, settings.core.host, settings.core.name, std::nullopt,
+                   [this](const platform::append_result& result) {
+                     is_registered = result.status == platform::append_status::appended;
+                     read_peers();
+                   });
+      return;
+    }
+    read_peers();
+  }
+
+  void read_peers() {
+    store.read_newest(platform::members_topic, [this](const platform::read_result& result) {
+      if (result.status != platform::read_status::ok) {
+        return; // looked for again by the core
+      }
+      gateway::peers_found found;
+      for (const platform::store_record& record : result.records) {
+        std::error_code error;
+        asio::ip::make_address_v4(record.key, error);
+        if (!error && !record.value.empty()) {
+          found.hosts.push_back(record.key);
+        }
+      }
+      handle(std::move(found));
+    });
+  }
+
+  void read_outcomes() {
+    store.read_newest(platform::outcomes_topic, [this](const platform::read_result& result) {
+      if (result.status != platform::read_status::ok) {
+        return; // asked for again by the core
+      }
+      gateway::outcomes_read read;
+      read.end_offset = result.end_offset;
+      for (const platform::store_record& record : result.records) {
+        if (std::optional<gateway::outcomes_read::outcome> outcome =
+                platform::decode_outcome(record.key, record.value)) {
+          read.outcomes.push_back(std::move(*outcome));
+        }
+      }
+      handle(std::move(read));
+    });
+  }
+
+  void record_outcome(const gateway::record_outcome& action) {
+    const std::string service = action.service;
+    store.append(platform::outcomes_topic, platform::outcome_key(service),
+                 platform::encode_outcome(action), action.expected_end,
+                 [this, service](const platform::append_result& result) {
+                   write_event(core::engine::severity::info, "outcome_recorded",
+                               {{"service", service}, {"reason", result.reason}});
+                   handle(gateway::outcome_recorded{
+                       service, result.status == platform::append_status::appended});
+                 });
+  }
+
+  // --- reports ---
+
+  void send_report(const gateway::send_report& action) {
+    const std::string bytes = wire::encode(action.content);
+    const udp::endpoint to(asio::ip::make_address_v4(action.host), settings.report_port);
+    std::error_code ignored; // reports may be lost; the next one replaces this one
+    reports.send_to(asio::buffer(bytes), to, 0, ignored);
+  }
+
+  void wait_for_reports() {
+    reports.async_wait(udp::socket::wait_read, [this](std::error_code error) {
+      if (error) {
+        return;
+      }
+      receive_reports();
+      wait_for_reports();
+    });
+  }
+
+  void receive_reports() {
+    constexpr int most_at_once = 64;
+    for (int i = 0; i < most_at_once; ++i) {
+      udp::endpoint from;
+      std::error_code error;
+      const std::size_t size = reports.receive_from(asio::buffer(datagram), from, 0, error);
+      if (error) {
+        return;
+      }
+      try {
+        handle(gateway::report_received{wire::decode_report(
+            std::string_view(datagram.data(), size), from.address().to_string())});
+      } catch (const wire::codec_error& problem) {
+        write_event(core::engine::severity::warning, "peer_message_malformed",
+                    {{"reason", problem.what()}});
+      }
+    }
+  }
+
+  // --- time and signals ---
+
+  void schedule_tick() {
+    timer.expires_after(gateway::tick_period);
+    timer.async_wait([this](std::error_code error) {
+      if (error) {
+        return;
+      }
+      on_tick();
+      schedule_tick();
+    });
+  }
+
+  void on_tick() {
+    const core::time_point now = clock.now();
+    if (now - swept_at >= sweep_period) {
+      swept_at = now;
+      for (http::server* item : {&callers, &peers, &upstreams, &readiness, &metrics}) {
+        item->sweep(now);
+      }
+      for (http::client* item : {&peer_client, &upstream_client, &store_connections}) {
+        item->sweep(now);
+      }
+      if (stopping_at != core::time_point{} && now - stopping_at >= close_idle_after) {
+        callers.close_idle();
+      }
+    }
+    handle(gateway::tick{});
+    log.flush();
+  }
+
+  void wait_for_signal() {
+    signals.async_wait([this](std::error_code error, int number) {
+      if (error) {
+        return;
+      }
+      if (number == SIGHUP) {
+        reload();
+      } else {
+        stopping_at = clock.now();
+        callers.close_after_answers();
+        handle(gateway::stop_requested{});
+      }
+      wait_for_signal();
+    });
+  }
+
+  // Addresses and identity hold for the life of a process, so a changed file is only checked.
+  void reload() {
+    try {
+      parse_gateway_settings(read_file(settings_path));
+      write_event(core::engine::severity::info, "settings_checked", {{"result", "ok"}});
+    } catch (const core::findings_error& error) {
+      write_event(core::engine::severity::error, "settings_checked", {{"result", error.what()}});
+    }
+  }
+
+  std::string render_metrics() const {
+    return runtime::render_metrics(core.totals(), store.calls(), log.dropped());
+  }
+
+  gateway_host_settings settings;
+  std::string settings_path;
+  asio::io_context loop{1};
+  anchored_clock clock;
+  gateway::gateway_core core;
+  log_writer log;
+  asio::signal_set signals;
+  asio::steady_timer timer;
+  http::client peer_client;
+  http::client upstream_client;
+  http::client store_connections;
+  platform::store_client store;
+  order_follower follower;
+  http::server callers;
+  http::server peers;
+  http::server upstreams;
+  http::server readiness;
+  http::server metrics;
+  udp::socket reports;
+  std::array<char, max_datagram_size> datagram{};
+  std::map<std::uint64_t, std::pair<http::client*, std::uint64_t>> exchanges; // by sending
+  std::uint64_t configured_version = 0;
+  bool is_registered = false;
+  core::time_point swept_at{};
+  core::time_point stopping_at{};
+};
+
+gateway_host::gateway_host(const gateway_host_settings& settings, std::string settings_path)
+    : state_(std::make_unique<state>(settings, std::move(settings_path))) {}
+
+gateway_host::~gateway_host() = default;
+
+void gateway_host::run() {
+  state_->loop.run();
+}
+
+} // namespace arbutuslb::runtime
--- /dev/null
+++ b/src/arbutuslb/runtime/gateway_metrics.cc
@@ -0,0 +1,33 @@
+#include "arbutuslb/runtime/gateway_metrics.h"
+
+namespace arbutuslb::runtime {
+namespace {
+
+void write_counter(std::string& out, const char* name, std::uint64_t value) {
+  out += std::string("# TYPE arbutuslb_") + name + " counter\narbutuslb_" + name + " " +
+         std::to_string(value) + "\n";
+}
+
+} // namespace
+
+std::string render_metrics(const core::gateway::gateway_statistics& totals,
+                           std::uint64_t store_calls, std::uint64_t log_lines_dropped) {
+  std::string out;
+  write_counter(out, "calls_total", totals.calls);
+  write_counter(out, "calls_answered_total", totals.answered);
+  write_counter(out, "calls_not_run_total", totals.refused);
+  write_counter(out, "calls_unknown_total", totals.unknown);
+  write_counter(out, "calls_without_route_total", totals.not_found);
+  write_counter(out, "callers_left_total", totals.callers_left);
+  write_counter(out, "repeats_total", totals.repeats);
+  write_counter(out, "runs_total", totals.runs);
+  write_counter(out, "runs_refused_total", totals.runs_refused);
+  write_counter(out, "reports_sent_total", totals.reports_sent);
+  write_counter(out, "reports_received_total", totals.reports_received);
+  write_counter(out, "heartbeats_refused_total", totals.heartbeats_refused);
+  write_counter(out, "store_calls_total", store_calls);
+  write_counter(out, "log_lines_dropped_total", log_lines_dropped);
+  return out;
+}
+
+} // namespace arbutuslb::runtime
--- /dev/null
+++ b/src/arbutuslb/runtime/gateway_settings.cc
@@ -0,0 +1,75 @@
+#include "arbutuslb/runtime/gateway_settings.h"
+
+#include "arbutuslb/core/base/object_reader.h"
+#include "arbutuslb/runtime/http/client.h"
+
+namespace arbutuslb::runtime {
+namespace {
+
+using core::finding_list;
+using core::object_reader;
+
+constexpr int max_port = 65535;
+constexpr double max_retry_ratio = 10.0;
+constexpr double max_retry_extra = 1e6;
+
+asio::ip::tcp::endpoint read_address(object_reader& reader, std::string_view key,
+                                     finding_list& findings) {
+  const std::string text = reader.required_string(key);
+  if (text.empty()) {
+    return {};
+  }
+  try {
+    return http::parse_endpoint(text);
+  } catch (const std::invalid_argument&) {
+    findings.add(reader.place_of(key), "expected an address such as 10.0.0.7:8300");
+    return {};
+  }
+}
+
+void read_listen(object_reader& parent, gateway_host_settings& settings, finding_list& findings) {
+  const object_reader::element from = parent.optional_object("listen");
+  object_reader reader(*from.value, from.place, findings);
+  settings.callers = read_address(reader, "callers", findings);
+  settings.peers = read_address(reader, "peers", findings);
+  settings.upstreams = read_address(reader, "upstreams", findings);
+  settings.readiness = read_address(reader, "readiness", findings);
+  settings.metrics = read_address(reader, "metrics", findings);
+  settings.report_port =
+      static_cast<std::uint16_t>(reader.required_integer("report_port", 1, max_port));
+  reader.finish();
+}
+
+} // namespace
+
+gateway_host_settings parse_gateway_settings(std::string_view text) {
+  const core::json document = core::parse_json_with_comments(text);
+  finding_list findings;
+  object_reader reader(document, "", findings);
+  gateway_host_settings settings;
+  settings.core.name = reader.required_string("instance");
+  settings.core.domain = reader.required_string("failure_domain");
+  read_listen(reader, settings, findings);
+  const object_reader::element upstream = reader.optional_object("upstream");
+  object_reader upstream_reader(*upstream.value, upstream.place, findings);
+  settings.upstream = read_address(upstream_reader, "address", findings);
+  settings.core.upstream_address = upstream_reader.optional_string("address", "");
+  settings.core.service = upstream_reader.required_string("service");
+  upstream_reader.finish();
+  settings.store = read_address(reader, "store", findings);
+  const object_reader::element retries = reader.optional_object("retries");
+  object_reader retry_reader(*retries.value, retries.place, findings);
+  settings.core.retry_ratio =
+      retry_reader.optional_number("ratio", settings.core.retry_ratio, 0.0, max_retry_ratio);
+  settings.core.retry_extra =
+      retry_reader.optional_number("extra", settings.core.retry_extra, 0.0, max_retry_extra);
+  retry_reader.finish();
+  settings.core.grace_period =
+      reader.optional_duration("grace_period", settings.core.grace_period);
+  reader.finish();
+  settings.core.host = settings.peers.address().to_string();
+  findings.throw_if_any();
+  return settings;
+}
+
+} // namespace arbutuslb::runtime
--- /dev/null
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -0,0 +1,360 @@
+#include "arbutuslb/runtime/http/client.h"
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+#include <map>
+#include <set>
+#include <stdexcept>
+#include <vector>
+
+namespace arbutuslb::runtime::http {
+namespace {
+
+using asio::ip::tcp;
+using steady = std::chrono::steady_clock;
+
+constexpr std::size_t read_buffer_size = std::size_t{64} * 1024;
+// Answers are not limited by what callers may send.
+constexpr read_limits answer_limits{std::size_t{64} * 1024, std::size_t{64} * 1024 * 1024};
+// Idle connections are closed after this time, or earlier if the server says so.
+constexpr std::chrono::seconds max_kept_time{6};
+// Closed this long before the server would.
+constexpr std::chrono::seconds keep_alive_margin{1};
+
+std::array<char, read_buffer_size> read_buffer;
+
+} // namespace
+
+struct client::state : std::enable_shared_from_this<client::state> {
+  explicit state(asio::io_context& io_loop) : loop(io_loop) {}
+
+  asio::io_context& loop;
+  std::uint64_t last_exchange = 0;
+  std::uint64_t connections_opened = 0;
+  std::map<std::uint64_t, std::shared_ptr<connection>> by_exchange;
+  std::map<tcp::endpoint, std::vector<std::shared_ptr<connection>>> idle; // the latest last
+};
+
+class client::connection : public std::enable_shared_from_this<client::connection> {
+public:
+  connection(state& owner, const tcp::endpoint& address)
+      : owner_(owner.weak_from_this()), address_(address), socket_(owner.loop),
+        reader_(message_kind::response, answer_limits) {}
+
+  void begin(std::uint64_t exchange, std::string wire, bool has_no_body, send_options options,
+             end_handler on_end) {
+    exchange_ = exchange;
+    options_ = std::move(options);
+    on_end_ = std::move(on_end);
+    wire_ = std::move(wire);
+    began_ = steady::now();
+    if (has_no_body) {
+      reader_.expect_no_body();
+    }
+    if (is_connected_) {
+      write();
+    } else {
+      connect();
+    }
+  }
+
+  core::duration idle_time() const {
+    return std::chrono::duration_cast<core::duration>(steady::now() - idle_since_);
+  }
+  bool is_closed() const { return is_closed_; }
+
+  // Returns true if the exchange is overdue.
+  bool is_overdue() const {
+    const steady::duration elapsed = steady::now() - began_;
+    if (!is_connected_) {
+      return elapsed >= options_.connect_timeout;
+    }
+    return options_.answer_timeout > core::duration::zero() && elapsed >= options_.answer_timeout;
+  }
+  bool is_idle_too_long() const { return idle_time() >= kept_time_; }
+
+  void close() {
+    if (is_closed_) {
+      return;
+    }
+    is_closed_ = true;
+    std::error_code ignored; // the connection may be gone already
+    socket_.close(ignored);
+  }
+
+  void fail() {
+    const exchange_outcome outcome =
+        has_sent_ ? exchange_outcome::broken : exchange_outcome::not_connected;
+    close();
+    finish({outcome, {}});
+  }
+
+private:
+  void connect() {
+    std::error_code error;
+    socket_.open(tcp::v4(), error);
+    if (error) {
+      asio::post(socket_.get_executor(), [self = shared_from_this()] { self->fail(); });
+      return;
+    }
+    socket_.non_blocking(true, error);
+    socket_.set_option(tcp::no_delay(true), error);
+    socket_.async_connect(address_, [self = shared_from_this()](std::error_code result) {
+      if (self->is_closed_) {
+        return;
+      }
+      if (result) {
+        self->fail();
+        return;
+      }
+      self->is_connected_ = true;
+      self->write();
+    });
+  }
+
+  void write() {
+    has_sent_ = true;
+    wait_for_bytes();
+    is_writing_ = true;
+    asio::async_write(socket_, asio::buffer(wire_),
+                      [self = shared_from_this()](std::error_code error, std::size_t) {
+                        self->is_writing_ = false;
+                        if (self->is_closed_) {
+                          return;
+                        }
+                        // A server may answer before it has read all: its answer is still read.
+                        if (!error) {
+                          self->wire_ = {};
+                        }
+                      });
+  }
+
+  void wait_for_bytes() {
+    if (is_waiting_ || is_closed_) {
+      return;
+    }
+    is_waiting_ = true;
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](std::error_code error) {
+                         self->is_waiting_ = false;
+                         if (self->is_closed_) {
+                           return;
+                         }
+                         if (error) {
+                           self->end_of_connection(false);
+                         } else {
+                           self->read();
+                         }
+                       });
+  }
+
+  void read() {
+    while (!is_closed_) {
+      std::error_code error;
+      const std::size_t size = socket_.read_some(asio::buffer(read_buffer), error);
+      if (error == asio::error::would_block) {
+        break;
+      }
+      if (error) {
+        end_of_connection(error == asio::error::eof);
+        return;
+      }
+      if (on_end_ == nullptr) {
+        drop_idle(); // bytes that belong to no request
+        return;
+      }
+      parse(std::string_view(read_buffer.data(), size));
+      if (size < read_buffer.size()) {
+        break;
+      }
+    }
+    wait_for_bytes();
+  }
+
+  void parse(std::string_view bytes) {
+    while (!bytes.empty() && !is_closed_ && on_end_ != nullptr) {
+      bytes.remove_prefix(reader_.consume(bytes));
+      if (reader_.state() == read_state::failed) {
+        fail();
+        return;
+      }
+      if (reader_.state() == read_state::complete) {
+        take_answer(bytes.empty());
+        if (on_end_ == nullptr) {
+          return;
+        }
+      }
+    }
+  }
+
+  // `is_last`: no bytes follow the answer.
+  void take_answer(bool is_last) {
+    const bool keeps = reader_.keeps_connection();
+    if (const std::optional<core::duration> time = reader_.keep_alive_time()) {
+      kept_time_ = std::min<core::duration>(max_kept_time, *time - keep_alive_margin);
+    }
+    core::http_response answer = reader_.take_response();
+    if (options_.is_own_answer && !options_.is_own_answer(answer)) {
+      if (!keeps) {
+        fail();
+      }
+      return;
+    }
+    const bool is_reusable = keeps && is_last && !is_writing_ && !is_closed_ &&
+                             kept_time_ > core::duration::zero();
+    if (is_reusable) {
+      keep();
+    } else {
+      close();
+    }
+    finish({exchange_outcome::answered, std::move(answer)});
+  }
+
+  void keep() {
+    idle_since_ = steady::now();
+    if (const std::shared_ptr<state> owner = owner_.lock()) {
+      owner->idle[address_].push_back(shared_from_this());
+    }
+  }
+
+  void end_of_connection(bool is_orderly) {
+    if (on_end_ == nullptr) {
+      drop_idle();
+      return;
+    }
+    if (is_orderly && reader_.has_headers()) {
+      reader_.end_of_stream();
+      if (reader_.state() == read_state::complete) {
+        take_answer(true);
+        return;
+      }
+    }
+    fail();
+  }
+
+  void drop_idle() {
+    close();
+    if (const std::shared_ptr<state> owner = owner_.lock()) {
+      std::erase(owner->idle[address_], shared_from_this());
+    }
+  }
+
+  void finish(exchange_end end) {
+    if (const std::shared_ptr<state> owner = owner_.lock()) {
+      owner->by_exchange.erase(exchange_);
+    }
+    if (on_end_ != nullptr) {
+      const end_handler handler = std::exchange(on_end_, nullptr);
+      handler(std::move(end));
+    }
+  }
+
+  std::weak_ptr<state> owner_;
+  tcp::endpoint address_;
+  tcp::socket socket_;
+  message_reader reader_;
+  std::uint64_t exchange_ = 0;
+  send_options options_;
+  end_handler on_end_;
+  std::string wire_;
+  steady::time_point began_{};
+  steady::time_point idle_since_{};
+  core::duration kept_time_ = max_kept_time;
+  bool is_connected_ = false;
+  bool has_sent_ = false;
+  bool is_writing_ = false;
+  bool is_waiting_ = false;
+  bool is_closed_ = false;
+};
+
+client::client(asio::io_context& loop) : state_(std::make_shared<state>(loop)) {}
+
+client::~client() {
+  for (const auto& [exchange, item] : state_->by_exchange) {
+    item->close();
+  }
+  for (const auto& [address, items] : state_->idle) {
+    for (const std::shared_ptr<connection>& item : items) {
+      item->close();
+    }
+  }
+}
+
+std::uint64_t client::send(const tcp::endpoint& address, const core::http_request& request,
+                           send_options options, end_handler on_end) {
+  const std::uint64_t exchange = ++state_->last_exchange;
+  std::vector<std::shared_ptr<connection>>& kept = state_->idle[address];
+  std::shared_ptr<connection> chosen;
+  if (!kept.empty() && kept.back()->idle_time() < options.max_idle) {
+    chosen = kept.back();
+    kept.pop_back();
+  } else {
+    chosen = std::make_shared<connection>(*state_, address);
+    ++state_->connections_opened;
+  }
+  state_->by_exchange.emplace(exchange, chosen);
+  chosen->begin(exchange, to_wire(request), request.method == "HEAD", std::move(options),
+                std::move(on_end));
+  return exchange;
+}
+
+void client::cancel(std::uint64_t exchange) {
+  const auto found = state_->by_exchange.find(exchange);
+  if (found != state_->by_exchange.end()) {
+    found->second->close();
+    state_->by_exchange.erase(found);
+  }
+}
+
+void client::sweep(core::time_point) {
+  std::vector<std::shared_ptr<connection>> overdue;
+  for (const auto& [exchange, item] : state_->by_exchange) {
+    if (item->is_overdue()) {
+      overdue.push_back(item);
+    }
+  }
+  for (const std::shared_ptr<connection>& item : overdue) {
+    item->fail();
+  }
+  for (auto& [address, items] : state_->idle) {
+    std::erase_if(items, [](const std::shared_ptr<connection>& item) {
+      const bool is_old = item->is_idle_too_long();
+      if (is_old) {
+        item->close();
+      }
+      return is_old || item->is_closed();
+    });
+  }
+}
+
+void client::close_idle(const tcp::endpoint& address) {
+  for (const std::shared_ptr<connection>& item : std::exchange(state_->idle[address], {})) {
+    item->close();
+  }
+}
+
+std::uint64_t client::connections_opened() const {
+  return state_->connections_opened;
+}
+
+tcp::endpoint parse_endpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  std::uint16_t port = 0;
+  if (colon != std::string_view::npos) {
+    const std::string_view digits = text.substr(colon + 1);
+    const std::from_chars_result parsed =
+        std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    std::error_code error;
+    const asio::ip::address_v4 host =
+        asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
+    if (parsed.ec == std::errc{} && parsed.ptr == digits.data() + digits.size() && !error) {
+      return {host, port};
+    }
+  }
+  throw std::invalid_argument("not an address and port: " + std::string(text));
+}
+
+} // namespace arbutuslb::runtime::http
--- /dev/null
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -0,0 +1,316 @@
+#include "arbutuslb/runtime/http/message_reader.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace arbutuslb::runtime::http {
+namespace {
+
+constexpr int first_final_status = 200;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+constexpr std::array<std::string_view, 9> connection_fields{
+    "Connection", "Keep-Alive",        "Transfer-Encoding", "Content-Length",  "TE",
+    "Trailer",    "Proxy-Connection", "Upgrade",           "Proxy-Authenticate"};
+
+bool is_token(std::string_view text) {
+  const auto is_token_character = [](unsigned char c) {
+    return std::isalnum(c) != 0 || std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) !=
+                                       std::string_view::npos;
+  };
+  return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
+}
+
+std::optional<core::duration> parse_keep_alive(std::string_view value) {
+  constexpr std::string_view key = "timeout=";
+  const std::size_t at = value.find(key);
+  int seconds = 0;
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view number = value.substr(at + key.size());
+  const std::from_chars_result parsed =
+      std::from_chars(number.data(), number.data() + number.size(), seconds);
+  return parsed.ec == std::errc{} ? std::optional<core::duration>(std::chrono::seconds{seconds})
+                                  : std::nullopt;
+}
+
+void append_headers(std::string& wire, const core::header_list& headers) {
+  for (const auto& [name, value] : headers) {
+    wire += name;
+    wire += ": ";
+    wire += value;
+    wire += "\r\n";
+  }
+}
+
+} // namespace
+
+struct message_reader::callbacks {
+  static message_reader& reader_of(http_parser* parser) {
+    return *static_cast<message_reader*>(parser->data);
+  }
+  static int on_url(http_parser* parser, const char* at, std::size_t size) {
+    reader_of(parser).target_.append(at, size);
+    return 0;
+  }
+  static int on_field(http_parser* parser, const char* at, std::size_t size) {
+    message_reader& reader = reader_of(parser);
+    if (reader.headers_.empty() || reader.last_was_value_) {
+      reader.headers_.emplace_back();
+    }
+    reader.last_was_value_ = false;
+    reader.headers_.back().first.append(at, size);
+    return 0;
+  }
+  static int on_value(http_parser* parser, const char* at, std::size_t size) {
+    message_reader& reader = reader_of(parser);
+    reader.last_was_value_ = true;
+    reader.headers_.back().second.append(at, size);
+    return 0;
+  }
+  static int on_headers_complete(http_parser* parser) {
+    message_reader& reader = reader_of(parser);
+    http_parser_pause(parser, 1);
+    return reader.has_no_body_ ? 1 : 0;
+  }
+  static int on_body(http_parser* parser, const char* at, std::size_t size) {
+    message_reader& reader = reader_of(parser);
+    if (reader.body_.size() + size > reader.limits_.max_body_bytes) {
+      reader.fail(read_fault::body_too_large);
+      return 1;
+    }
+    reader.body_.append(at, size);
+    return 0;
+  }
+  static int on_message_complete(http_parser* parser) {
+    message_reader& reader = reader_of(parser);
+    reader.keeps_connection_ = http_should_keep_alive(parser) != 0;
+    reader.state_ = read_state::complete;
+    http_parser_pause(parser, 1);
+    return 0;
+  }
+  static const http_parser_settings& settings() {
+    static const http_parser_settings value = [] {
+      http_parser_settings fresh;
+      http_parser_settings_init(&fresh);
+      fresh.on_url = on_url;
+      fresh.on_header_field = on_field;
+      fresh.on_header_value = on_value;
+      fresh.on_headers_complete = on_headers_complete;
+      fresh.on_body = on_body;
+      fresh.on_message_complete = on_message_complete;
+      return fresh;
+    }();
+    return value;
+  }
+};
+
+message_reader::message_reader(message_kind kind, read_limits limits)
+    : kind_(kind), limits_(limits) {
+  begin_message();
+}
+
+void message_reader::begin_message() {
+  http_parser_init(&parser_, kind_ == message_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+  state_ = read_state::reading;
+  fault_ = read_fault::none;
+  has_begun_ = false;
+  has_headers_ = false;
+  expects_continue_ = false;
+  keeps_connection_ = false;
+  last_was_value_ = false;
+  last_byte_ = 0;
+  header_bytes_ = 0;
+  keep_alive_time_.reset();
+  target_.clear();
+  headers_.clear();
+  body_.clear();
+}
+
+void message_reader::fail(read_fault fault) {
+  state_ = read_state::failed;
+  fault_ = fault;
+}
+
+bool message_reader::has_bare_line_feed(std::string_view bytes) {
+  for (const char byte : bytes) {
+    if (byte == '\n' && last_byte_ != '\r') {
+      return true;
+    }
+    last_byte_ = byte;
+  }
+  return false;
+}
+
+std::size_t message_reader::consume(std::string_view bytes) {
+  std::size_t used = 0;
+  while (used < bytes.size() && state_ == read_state::reading) {
+    const std::string_view rest = bytes.substr(used);
+    const bool was_in_headers = !has_headers_;
+    // Line ends between messages are allowed and belong to none.
+    has_begun_ = has_begun_ || (rest.front() != '\r' && rest.front() != '\n');
+    const std::size_t taken =
+        http_parser_execute(&parser_, &callbacks::settings(), rest.data(), rest.size());
+    used += taken;
+    const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+    if (state_ == read_state::failed) {
+      break;
+    }
+    if (error != HPE_OK && error != HPE_PAUSED) {
+      fail(error == HPE_HEADER_OVERFLOW ? read_fault::headers_too_large : read_fault::malformed);
+      break;
+    }
+    if (was_in_headers) {
+      const bool is_end = error == HPE_PAUSED && state_ == read_state::reading;
+      const std::size_t header_part = std::min(rest.size(), taken + (is_end ? 1 : 0));
+      header_bytes_ += header_part;
+      if (header_bytes_ > limits_.max_header_bytes) {
+        fail(read_fault::headers_too_large);
+        break;
+      }
+      if (has_begun_ && has_bare_line_feed(rest.substr(0, header_part))) {
+        fail(read_fault::malformed);
+        break;
+      }
+      if (is_end) {
+        finish_headers();
+      }
+    }
+    if (error == HPE_PAUSED) {
+      http_parser_pause(&parser_, 0);
+    }
+    if (state_ == read_state::complete && kind_ == message_kind::response &&
+        parser_.status_code < first_final_status) {
+      begin_message(); // an interim response; the final one follows
+    }
+  }
+  return used;
+}
+
+void message_reader::finish_headers() {
+  has_headers_ = true;
+  int hosts = 0;
+  for (const auto& [name, value] : headers_) {
+    if (!is_token(name)) {
+      fail(read_fault::malformed);
+      return;
+    }
+    hosts += core::equal_ignoring_case(name, "Host") ? 1 : 0;
+    if (core::equal_ignoring_case(name, "Keep-Alive")) {
+      keep_alive_time_ = parse_keep_alive(value);
+    }
+    if (core::equal_ignoring_case(name, "Expect")) {
+      expects_continue_ = core::equal_ignoring_case(value, "100-continue");
+    }
+  }
+  if (kind_ == message_kind::request && hosts != 1) {
+    fail(read_fault::malformed);
+  }
+}
+
+void message_reader::end_of_stream() {
+  if (state_ != read_state::reading) {
+    return;
+  }
+  http_parser_execute(&parser_, &callbacks::settings(), nullptr, 0);
+  if (state_ != read_state::complete) {
+    fail(read_fault::malformed);
+  }
+}
+
+void message_reader::remove_connection_fields() {
+  std::string named;
+  for (const auto& [name, value] : headers_) {
+    if (core::equal_ignoring_case(name, "Connection")) {
+      named += value + ",";
+    }
+  }
+  const auto is_named = [&](std::string_view name) {
+    std::size_t begin = 0;
+    while (begin < named.size()) {
+      const std::size_t end = named.find(',', begin);
+      std::string_view part = std::string_view(named).substr(begin, end - begin);
+      while (!part.empty() && part.front() == ' ') {
+        part.remove_prefix(1);
+      }
+      while (!part.empty() && part.back() == ' ') {
+        part.remove_suffix(1);
+      }
+      if (core::equal_ignoring_case(part, name)) {
+        return true;
+      }
+      begin = end + 1;
+    }
+    return false;
+  };
+  std::erase_if(headers_, [&](const auto& field) {
+    const auto is_same = [&](std::string_view name) {
+      return core::equal_ignoring_case(name, field.first);
+    };
+    return std::any_of(connection_fields.begin(), connection_fields.end(), is_same) ||
+           is_named(field.first);
+  });
+}
+
+core::http_request message_reader::take_request() {
+  remove_connection_fields();
+  core::http_request request;
+  request.method = http_method_str(static_cast<http_method>(parser_.method));
+  request.target = std::move(target_);
+  request.headers = std::move(headers_);
+  request.body = std::move(body_);
+  begin_message();
+  return request;
+}
+
+core::http_response message_reader::take_response() {
+  remove_connection_fields();
+  core::http_response response;
+  response.status = static_cast<int>(parser_.status_code);
+  response.headers = std::move(headers_);
+  response.body = std::move(body_);
+  begin_message();
+  return response;
+}
+
+std::string to_wire(const core::http_request& request) {
+  std::string wire;
+  constexpr std::size_t usual_header_size = 512;
+  wire.reserve(usual_header_size + request.body.size());
+  wire += request.method;
+  wire += ' ';
+  wire += request.target;
+  wire += " HTTP/1.1\r\n";
+  append_headers(wire, request.headers);
+  if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
+    wire += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  wire += "\r\n";
+  wire += request.body;
+  return wire;
+}
+
+std::string to_wire(const core::http_response& response, bool closes_connection) {
+  std::string wire;
+  constexpr std::size_t usual_header_size = 512;
+  wire.reserve(usual_header_size + response.body.size());
+  wire += "HTTP/1.1 " + std::to_string(response.status) + " ";
+  wire += http_status_str(static_cast<http_status>(response.status));
+  wire += "\r\n";
+  append_headers(wire, response.headers);
+  if (response.status != status_no_content && response.status != status_not_modified) {
+    wire += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+  }
+  if (closes_connection) {
+    wire += "Connection: close\r\n";
+  }
+  wire += "\r\n";
+  wire += response.body;
+  return wire;
+}
+
+} // namespace arbutuslb::runtime::http
--- /dev/null
+++ b/src/arbutuslb/runtime/http/message_reader.h
@@ -0,0 +1,90 @@
+// Reads HTTP/1.1 messages from a stream of bytes, one at a time.
+//
+// Stricter than the parser below it where two readers could disagree on where a message ends:
+// lines must end with CR LF, and field names must be tokens. Fields that concern one connection
+// only are taken out of the message.
+//
+//   message_reader reader(message_kind::request, limits);
+//   std::size_t used = reader.consume(bytes);
+//   if (reader.state() == read_state::complete) { http_request request = reader.take_request(); }
+#pragma once
+
+#include "arbutuslb/core/base/http_message.h"
+#include "arbutuslb/core/base/time.h"
+
+#include <http_parser.h>
+#include <optional>
+#include <string_view>
+
+namespace arbutuslb::runtime::http {
+
+enum class message_kind : std::uint8_t { request, response };
+enum class read_state : std::uint8_t { reading, complete, failed };
+enum class read_fault : std::uint8_t { none, malformed, headers_too_large, body_too_large };
+
+struct read_limits {
+  std::size_t max_header_bytes = 16384;
+  std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
+};
+
+// Not thread-safe; neither copyable nor movable.
+class message_reader {
+public:
+  message_reader(message_kind kind, read_limits limits);
+  message_reader(const message_reader&) = delete;
+  message_reader& operator=(const message_reader&) = delete;
+
+  // Takes bytes up to the end of the present message and returns how many it took.
+  std::size_t consume(std::string_view bytes);
+  // The stream has ended in order. Completes a response that ends with its connection.
+  void end_of_stream();
+  // The next response has no body, whatever its fields say.
+  void expect_no_body() { has_no_body_ = true; }
+
+  read_state state() const noexcept { return state_; }
+  read_fault fault() const noexcept { return fault_; }
+  // True if a part of the present message was read.
+  bool has_begun() const noexcept { return has_begun_; }
+  bool has_headers() const noexcept { return has_headers_; }
+  // The sender waits for "100 Continue" before it sends the body.
+  bool expects_continue() const noexcept { return expects_continue_; }
+
+  // Valid while the state is `complete`.
+  bool keeps_connection() const noexcept { return keeps_connection_; }
+  // How long the sender keeps the connection open when idle, if it said so.
+  std::optional<core::duration> keep_alive_time() const noexcept { return keep_alive_time_; }
+  core::http_request take_request();
+  core::http_response take_response();
+
+private:
+  struct callbacks;
+  void begin_message();
+  void fail(read_fault fault);
+  bool has_bare_line_feed(std::string_view bytes);
+  void finish_headers();
+  void remove_connection_fields();
+
+  message_kind kind_;
+  read_limits limits_;
+  http_parser parser_{};
+  read_state state_ = read_state::reading;
+  read_fault fault_ = read_fault::none;
+  bool has_begun_ = false;
+  bool has_headers_ = false;
+  bool has_no_body_ = false;
+  bool expects_continue_ = false;
+  bool keeps_connection_ = false;
+  bool last_was_value_ = false;
+  char last_byte_ = 0;
+  std::size_t header_bytes_ = 0;
+  std::optional<core::duration> keep_alive_time_;
+  std::string target_;
+  core::header_list headers_;
+  std::string body_;
+};
+
+// Returns the message as it goes on the wire, with its length.
+std::string to_wire(const core::http_request& request);
+std::string to_wire(const core::http_response& response, bool closes_connection);
+
+} // namespace arbutuslb::runtime::http
--- /dev/null
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -0,0 +1,371 @@
+#include "arbutuslb/runtime/http/server.h"
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/write.hpp>
+#include <deque>
+#include <map>
+#include <set>
+
+namespace arbutuslb::runtime::http {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
+constexpr int status_body_too_large = 413;
+constexpr int status_headers_too_large = 431;
+constexpr std::size_t read_buffer_size = std::size_t{32} * 1024;
+constexpr std::size_t reads_per_wake = 4;
+constexpr std::size_t reserved_tokens = 8;
+
+// Shared by all connections: the loop has one thread, and the bytes are parsed at once.
+std::array<char, read_buffer_size> read_buffer;
+
+int status_of(read_fault fault) {
+  switch (fault) {
+  case read_fault::headers_too_large:
+    return status_headers_too_large;
+  case read_fault::body_too_large:
+    return status_body_too_large;
+  default:
+    return status_bad_request;
+  }
+}
+
+} // namespace
+
+struct server::state : std::enable_shared_from_this<server::state> {
+  state(asio::io_context& io_loop, const tcp::endpoint& address, server_handlers callbacks)
+      : loop(io_loop), acceptor(io_loop, address), handlers(std::move(callbacks)) {}
+
+  void accept();
+
+  asio::io_context& loop;
+  tcp::acceptor acceptor;
+  server_handlers handlers;
+  server_options options;
+  bool closes_after_answers = false;
+  std::uint64_t last_token = reserved_tokens;
+  std::set<std::shared_ptr<connection>> connections;
+  std::map<std::uint64_t, std::shared_ptr<connection>> by_token;
+};
+
+class server::connection : public std::enable_shared_from_this<server::connection> {
+public:
+  connection(state& owner, tcp::socket socket)
+      : owner_(owner.weak_from_this()), socket_(std::move(socket)),
+        reader_(message_kind::request, owner.options.limits) {}
+
+  void start() { wait_for_bytes(); }
+
+  void respond(std::uint64_t token, const core::http_response& response, bool closes) {
+    for (answer_slot& slot : slots_) {
+      if (slot.token == token) {
+        slot.is_ready = true;
+        slot.closes = slot.closes || closes;
+        slot.wire = to_wire(response, slot.closes);
+        break;
+      }
+    }
+    flush();
+  }
+
+  void sweep(core::time_point now, const server_options& options) {
+    if (!has_swept_ || has_activity_) {
+      has_swept_ = true;
+      has_activity_ = false;
+      quiet_since_ = now;
+      if (!reader_.has_begun()) {
+        begun_at_ = now;
+      }
+      return;
+    }
+    if (!reader_.has_begun()) {
+      begun_at_ = now;
+      if (is_idle() && now - quiet_since_ >= options.idle_timeout) {
+        close();
+      }
+      return;
+    }
+    const core::duration limit =
+        reader_.has_headers() ? options.body_timeout : options.header_timeout;
+    if (now - begun_at_ >= limit) {
+      refuse(status_timeout);
+    }
+  }
+
+  bool is_idle() const { return slots_.empty() && !is_writing_ && !reader_.has_begun(); }
+
+  void close() {
+    if (is_closed_) {
+      return;
+    }
+    is_closed_ = true;
+    std::error_code ignored; // the connection may be gone already
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+    const std::shared_ptr<state> owner = owner_.lock();
+    if (!owner) {
+      return;
+    }
+    const std::shared_ptr<connection> self = shared_from_this();
+    for (const answer_slot& slot : slots_) {
+      if (owner->by_token.erase(slot.token) > 0) {
+        owner->handlers.on_left(slot.token);
+      }
+    }
+    slots_.clear();
+    owner->connections.erase(self);
+  }
+
+private:
+  struct answer_slot {
+    std::uint64_t token = 0;
+    bool is_ready = false;
+    bool closes = false;
+    std::string wire;
+  };
+
+  void wait_for_bytes() {
+    if (is_waiting_ || is_closed_ || is_refusing_) {
+      return;
+    }
+    is_waiting_ = true;
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](std::error_code error) {
+                         self->is_waiting_ = false;
+                         if (error) {
+                           self->close();
+                         } else {
+                           self->read();
+                         }
+                       });
+  }
+
+  void read() {
+    for (std::size_t i = 0; i < reads_per_wake && !is_closed_; ++i) {
+      std::error_code error;
+      const std::size_t size = socket_.read_some(asio::buffer(read_buffer), error);
+      if (error == asio::error::would_block) {
+        break;
+      }
+      if (error) {
+        close();
+        return;
+      }
+      has_activity_ = true;
+      if (is_refusing_) {
+        continue; // what follows a refused request is dropped
+      }
+      if (unread_.empty()) {
+        parse(std::string_view(read_buffer.data(), size));
+      } else {
+        unread_.append(read_buffer.data(), size);
+        parse_unread();
+      }
+      if (size < read_buffer.size()) {
+        break;
+      }
+    }
+    if (unread_.size() < read_buffer_size) {
+      wait_for_bytes();
+    }
+  }
+
+  void parse_unread() {
+    const std::string bytes = std::exchange(unread_, {});
+    parse(bytes);
+  }
+
+  void parse(std::string_view bytes) {
+    const std::shared_ptr<state> owner = owner_.lock();
+    while (owner && !bytes.empty() && !is_closed_ && !is_refusing_) {
+      if (slots_.size() >= owner->options.max_pipelined || ends_after_slots_) {
+        unread_.append(bytes);
+        return;
+      }
+      bytes.remove_prefix(reader_.consume(bytes));
+      if (reader_.state() == read_state::failed) {
+        refuse(status_of(reader_.fault()));
+        return;
+      }
+      if (reader_.state() == read_state::complete) {
+        take_request(*owner);
+      } else if (reader_.has_headers() && reader_.expects_continue() && !has_told_continue_) {
+        has_told_continue_ = true;
+        write_now("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+    }
+  }
+
+  void take_request(state& owner) {
+    has_told_continue_ = false;
+    answer_slot slot;
+    slot.token = ++owner.last_token;
+    slot.closes = !reader_.keeps_connection() || owner.closes_after_answers;
+    ends_after_slots_ = slot.closes;
+    const std::uint64_t token = slot.token;
+    slots_.push_back(std::move(slot));
+    owner.by_token.emplace(token, shared_from_this());
+    owner.handlers.on_request(token, reader_.take_request());
+  }
+
+  // Answers a request that cannot be read, behind the answers that are due, and closes.
+  void refuse(int status) {
+    is_refusing_ = true;
+    core::http_response answer;
+    answer.status = status;
+    answer_slot slot;
+    slot.is_ready = true;
+    slot.closes = true;
+    slot.wire = to_wire(answer, true);
+    slots_.push_back(std::move(slot));
+    flush();
+  }
+
+  void write_now(std::string bytes) {
+    output_ += bytes;
+    write();
+  }
+
+  void flush() {
+    const std::shared_ptr<state> owner = owner_.lock();
+    while (!slots_.empty() && slots_.front().is_ready && !closes_after_write_) {
+      answer_slot& slot = slots_.front();
+      output_ += slot.wire;
+      closes_after_write_ = slot.closes;
+      if (owner) {
+        owner->by_token.erase(slot.token);
+      }
+      slots_.pop_front();
+    }
+    write();
+  }
+
+  void write() {
+    if (is_writing_ || is_closed_ || output_.empty()) {
+      return;
+    }
+    is_writing_ = true;
+    writing_ = std::exchange(output_, {});
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](std::error_code error, std::size_t) {
+                        self->on_written(error);
+                      });
+  }
+
+  void on_written(std::error_code error) {
+    is_writing_ = false;
+    has_activity_ = true;
+    writing_ = {};
+    if (error) {
+      close();
+      return;
+    }
+    if (!output_.empty()) {
+      write();
+      return;
+    }
+    if (closes_after_write_) {
+      close();
+      return;
+    }
+    if (!unread_.empty()) {
+      parse_unread();
+    }
+    wait_for_bytes();
+  }
+
+  std::weak_ptr<state> owner_;
+  tcp::socket socket_;
+  message_reader reader_;
+  std::deque<answer_slot> slots_; // in the order of the requests
+  std::string unread_;
+  std::string output_;
+  std::string writing_;
+  bool is_waiting_ = false;
+  bool is_writing_ = false;
+  bool is_closed_ = false;
+  bool is_refusing_ = false;
+  bool closes_after_write_ = false;
+  bool ends_after_slots_ = false;
+  bool has_told_continue_ = false;
+  bool has_activity_ = false;
+  bool has_swept_ = false;
+  core::time_point quiet_since_{};
+  core::time_point begun_at_{};
+};
+
+void server::state::accept() {
+  acceptor.async_accept([self = shared_from_this()](std::error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      std::error_code ignored; // a socket that is gone already shows at its first read
+      socket.non_blocking(true, ignored);
+      socket.set_option(tcp::no_delay(true), ignored);
+      const std::shared_ptr<connection> fresh =
+          std::make_shared<connection>(*self, std::move(socket));
+      self->connections.insert(fresh);
+      fresh->start();
+    }
+    self->accept();
+  });
+}
+
+server::server(asio::io_context& loop, const tcp::endpoint& address, server_handlers handlers)
+    : state_(std::make_shared<state>(loop, address, std::move(handlers))) {
+  state_->accept();
+}
+
+server::~server() {
+  std::error_code ignored;
+  state_->acceptor.close(ignored);
+  state_->handlers.on_left = [](std::uint64_t) {};
+  for (const std::shared_ptr<connection>& item : std::set(state_->connections)) {
+    item->close();
+  }
+}
+
+void server::set_options(const server_options& options) {
+  state_->options = options;
+}
+
+void server::respond(std::uint64_t token, const core::http_response& response) {
+  const auto found = state_->by_token.find(token);
+  if (found != state_->by_token.end()) {
+    const std::shared_ptr<connection> target = found->second;
+    target->respond(token, response, state_->closes_after_answers);
+  }
+}
+
+void server::sweep(core::time_point now) {
+  const std::vector<std::shared_ptr<connection>> all(state_->connections.begin(),
+                                                     state_->connections.end());
+  for (const std::shared_ptr<connection>& item : all) {
+    item->sweep(now, state_->options);
+  }
+}
+
+void server::close_after_answers() {
+  state_->closes_after_answers = true;
+}
+
+void server::close_idle() {
+  const std::vector<std::shared_ptr<connection>> all(state_->connections.begin(),
+                                                     state_->connections.end());
+  for (const std::shared_ptr<connection>& item : all) {
+    if (item->is_idle()) {
+      item->close();
+    }
+  }
+}
+
+std::size_t server::connection_count() const {
+  return state_->connections.size();
+}
+
+} // namespace arbutuslb::runtime::http
--- a/src/arbutuslb/runtime/wire/codec.cc
+++ b/src/arbutuslb/runtime/wire/codec.cc
@@ -1,5 +1,6 @@
 #include "arbutuslb/runtime/wire/codec.h"
 
+#include "arbutuslb/runtime/wire/evidence_codec.h"
 #include "arbutuslb/runtime/wire/peer.pb.h"
 
 #include <algorithm>
@@ -16,7 +17,6 @@
 using core::membership::member_status;
 
 constexpr std::uint32_t max_port = 65535;
-constexpr int max_share_permille = 1000;
 
 void put(const member& from, Member& to) {
   to.set_id(from.id.value);
@@ -229,20 +229,7 @@
     put(from.answer, *to.mutable_answer());
   }
   void operator()(const protocol::evidence_report& from) const {
-    EvidenceReport& to = *out.mutable_evidence_report();
-    to.set_move_id(from.move_id);
-    to.set_version(from.version);
-    to.set_limit(from.limit);
-    to.set_mean_in_flight(from.mean_in_flight);
-    for (const protocol::evidence_cell& cell : from.cells) {
-      EvidenceCell& each = *to.add_cells();
-      each.set_route(cell.route);
-      each.set_share_permille(static_cast<std::uint32_t>(cell.share_permille));
-      each.set_calls(cell.calls);
-      each.set_errors(cell.errors);
-      each.set_deaths(cell.deaths);
-      each.mutable_latency()->Add(cell.latency.begin(), cell.latency.end());
-    }
+    put(from, *out.mutable_evidence_report());
   }
   void operator()(const protocol::brake& from) const {
     out.mutable_brake()->set_move_id(from.move_id);
@@ -309,26 +296,6 @@
           take(from.answer()),  {from.limit(), from.in_flight(), from.queued()}};
 }
 
-protocol::evidence_report take(const EvidenceReport& from) {
-  protocol::evidence_report to{
-      from.move_id(), from.version(), {}, from.limit(), from.mean_in_flight()};
-  for (const EvidenceCell& cell : from.cells()) {
-    protocol::evidence_cell each;
-    if (cell.latency_size() != static_cast<int>(each.latency.size()) ||
-        cell.share_permille() > max_share_permille) {
-      throw codec_error("malformed evidence");
-    }
-    each.route = cell.route();
-    each.share_permille = static_cast<int>(cell.share_permille());
-    each.calls = cell.calls();
-    each.errors = cell.errors();
-    each.deaths = cell.deaths();
-    std::copy(cell.latency().begin(), cell.latency().end(), each.latency.begin());
-    to.cells.push_back(std::move(each));
-  }
-  return to;
-}
-
 protocol::message_body take_body(const Envelope& from) {
   switch (from.body_case()) {
   case Envelope::kPing:
--- /dev/null
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -0,0 +1,228 @@
+#include "arbutuslb/runtime/wire/gateway_codec.h"
+
+#include "arbutuslb/runtime/wire/evidence_codec.h"
+#include "arbutuslb/runtime/wire/gateway.pb.h"
+
+namespace arbutuslb::runtime::wire {
+namespace {
+
+namespace gateway = core::gateway;
+
+constexpr std::uint32_t last_outcome = static_cast<std::uint32_t>(gateway::run_outcome::unknown);
+constexpr std::uint32_t last_phase = static_cast<std::uint32_t>(gateway::rollout_phase::completed);
+
+template <typename Message>
+Message parse(std::string_view bytes) {
+  Message message;
+  if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    throw codec_error("malformed message");
+  }
+  return message;
+}
+
+template <typename Message>
+void put_headers(const core::header_list& from, Message& to) {
+  for (const auto& [name, value] : from) {
+    HeaderField& field = *to.add_headers();
+    field.set_name(name);
+    field.set_value(value);
+  }
+}
+
+template <typename Message>
+core::header_list take_headers(const Message& from) {
+  core::header_list headers;
+  for (const HeaderField& field : from.headers()) {
+    headers.emplace_back(field.name(), field.value());
+  }
+  return headers;
+}
+
+} // namespace
+
+std::string encode(const gateway::run_request& value) {
+  RunRequest out;
+  out.set_attempt_id(value.content.attempt_id);
+  out.set_host(value.content.host);
+  out.set_method(value.content.message.method);
+  out.set_target(value.content.message.target);
+  put_headers(value.content.message.headers, out);
+  out.set_body(value.content.message.body);
+  out.set_instance_id(value.instance_id);
+  out.set_caller_service(value.caller_service);
+  out.set_route(value.route);
+  out.set_rank(static_cast<std::uint32_t>(value.rank));
+  out.set_is_idempotent(value.is_idempotent);
+  out.set_time_left(value.time_left.count());
+  out.set_target_time_left(value.target_time_left.count());
+  out.set_rollout_share_permille(value.rollout_share_permille);
+  out.set_is_repeat(value.is_repeat);
+  return out.SerializeAsString();
+}
+
+gateway::run_request decode_run_request(std::string_view bytes) {
+  const RunRequest in = parse<RunRequest>(bytes);
+  gateway::run_request value;
+  value.content.attempt_id = in.attempt_id();
+  value.content.host = in.host();
+  value.content.message.method = in.method();
+  value.content.message.target = in.target();
+  value.content.message.headers = take_headers(in);
+  value.content.message.body = in.body();
+  value.instance_id = in.instance_id();
+  value.caller_service = in.caller_service();
+  value.route = in.route();
+  value.rank = static_cast<int>(in.rank());
+  value.is_idempotent = in.is_idempotent();
+  value.time_left = core::duration{in.time_left()};
+  value.content.time_left = value.time_left;
+  value.target_time_left = core::duration{in.target_time_left()};
+  value.rollout_share_permille = in.rollout_share_permille();
+  value.is_repeat = in.is_repeat();
+  return value;
+}
+
+std::string encode(const gateway::run_result& value) {
+  RunResult out;
+  out.set_outcome(static_cast<std::uint32_t>(value.outcome));
+  out.set_status(static_cast<std::uint32_t>(value.answer.status));
+  put_headers(value.answer.headers, out);
+  out.set_body(value.answer.body);
+  out.set_reason(value.reason);
+  out.set_reached_upstream(value.reached_upstream);
+  out.set_retry_after(value.retry_after.count());
+  out.set_in_flight(value.in_flight);
+  out.set_waiting(static_cast<std::uint32_t>(value.waiting));
+  return out.SerializeAsString();
+}
+
+gateway::run_result decode_run_result(std::string_view bytes) {
+  const RunResult in = parse<RunResult>(bytes);
+  if (in.outcome() > last_outcome) {
+    throw codec_error("outcome out of range");
+  }
+  gateway::run_result value;
+  value.outcome = static_cast<gateway::run_outcome>(in.outcome());
+  value.answer.status = static_cast<int>(in.status());
+  value.answer.headers = take_headers(in);
+  value.answer.body = in.body();
+  value.reason = in.reason();
+  value.reached_upstream = in.reached_upstream();
+  value.retry_after = core::duration{in.retry_after()};
+  value.in_flight = in.in_flight();
+  value.waiting = static_cast<int>(in.waiting());
+  return value;
+}
+
+std::string encode(const gateway::peer_report& value) {
+  GatewayReport out;
+  out.set_protocol(protocol_version);
+  out.set_name(value.name);
+  out.set_domain(value.domain);
+  out.set_boot(value.boot);
+  out.set_sequence(value.sequence);
+  out.set_is_stopping(value.is_stopping);
+  out.set_wants_reply(value.wants_reply);
+  out.set_service(value.service);
+  out.set_instance_id(value.instance_id);
+  out.set_version(value.version);
+  out.set_upstream_started_ms(value.upstream_started_ms);
+  out.set_is_usable(value.is_usable);
+  out.set_limit(static_cast<std::uint32_t>(value.limit));
+  out.set_in_flight(static_cast<std::uint32_t>(value.in_flight));
+  out.set_waiting(static_cast<std::uint32_t>(value.waiting));
+  out.set_failed_permille(static_cast<std::uint32_t>(value.failed_permille));
+  out.set_cold_rate(value.cold_rate);
+  out.set_mean_latency(value.mean_latency.count());
+  for (const gateway::route_latency& item : value.routes) {
+    RouteLatency& each = *out.add_routes();
+    each.set_route_hash(item.route_hash);
+    each.set_mean(static_cast<std::uint32_t>(item.mean.count()));
+  }
+  out.set_orders_end(value.orders_end);
+  for (const gateway::rollout_progress& item : value.rollouts) {
+    RolloutProgress& each = *out.add_rollouts();
+    each.set_id(item.id);
+    each.set_share_permille(static_cast<std::uint32_t>(item.share_permille));
+    each.set_phase(static_cast<std::uint32_t>(item.phase));
+  }
+  for (const core::protocol::evidence_report& item : value.evidence) {
+    put(item, *out.add_evidence());
+  }
+  return out.SerializeAsString();
+}
+
+gateway::peer_report decode_report(std::string_view bytes, const std::string& host) {
+  const GatewayReport in = parse<GatewayReport>(bytes);
+  if (in.protocol() != protocol_version) {
+    throw codec_error("another version of the protocol");
+  }
+  gateway::peer_report value;
+  value.host = host;
+  value.name = in.name();
+  value.domain = in.domain();
+  value.boot = in.boot();
+  value.sequence = in.sequence();
+  value.is_stopping = in.is_stopping();
+  value.wants_reply = in.wants_reply();
+  value.service = in.service();
+  value.instance_id = in.instance_id();
+  value.version = in.version();
+  value.upstream_started_ms = in.upstream_started_ms();
+  value.is_usable = in.is_usable();
+  value.limit = static_cast<int>(in.limit());
+  value.in_flight = static_cast<int>(in.in_flight());
+  value.waiting = static_cast<int>(in.waiting());
+  value.failed_permille = static_cast<int>(in.failed_permille());
+  value.cold_rate = in.cold_rate();
+  value.mean_latency = core::duration{in.mean_latency()};
+  for (const RouteLatency& item : in.routes()) {
+    value.routes.push_back({item.route_hash(), core::duration{item.mean()}});
+  }
+  value.orders_end = in.orders_end();
+  for (const RolloutProgress& item : in.rollouts()) {
+    if (item.phase() > last_phase) {
+      throw codec_error("phase out of range");
+    }
+    value.rollouts.push_back({item.id(), static_cast<int>(item.share_permille()),
+                              static_cast<gateway::rollout_phase>(item.phase())});
+  }
+  for (const EvidenceReport& item : in.evidence()) {
+    value.evidence.push_back(take(item));
+  }
+  return value;
+}
+
+std::string encode(const orders_reply& value) {
+  OrdersReply out;
+  out.set_end_offset(value.end_offset);
+  for (const stored_order& item : value.orders) {
+    StoredOrder& each = *out.add_orders();
+    each.set_offset(item.offset);
+    each.set_key(item.key);
+    each.set_value(item.value);
+  }
+  return out.SerializeAsString();
+}
+
+orders_reply decode_orders_reply(std::string_view bytes) {
+  const OrdersReply in = parse<OrdersReply>(bytes);
+  orders_reply value;
+  value.end_offset = in.end_offset();
+  for (const StoredOrder& item : in.orders()) {
+    value.orders.push_back({item.offset(), item.key(), item.value()});
+  }
+  return value;
+}
+
+std::string encode_orders_request(std::uint64_t from_offset) {
+  OrdersRequest out;
+  out.set_from_offset(from_offset);
+  return out.SerializeAsString();
+}
+
+std::uint64_t decode_orders_request(std::string_view bytes) {
+  return parse<OrdersRequest>(bytes).from_offset();
+}
+
+} // namespace arbutuslb::runtime::wire
--- /dev/null
+++ b/src/arbutuslb/runtime/wire/gateway_codec.h
@@ -0,0 +1,39 @@
+// Puts what daemons of the data path send each other on the wire and takes it off again.
+#pragma once
+
+#include "arbutuslb/core/gateway/calls.h"
+#include "arbutuslb/core/gateway/peer_report.h"
+#include "arbutuslb/runtime/wire/codec.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace arbutuslb::runtime::wire {
+
+// An operators' record as it is stored.
+struct stored_order {
+  std::uint64_t offset = 0;
+  std::string key;
+  std::string value;
+};
+struct orders_reply {
+  std::vector<stored_order> orders;
+  std::uint64_t end_offset = 0;
+};
+
+std::string encode(const core::gateway::run_request& value);
+std::string encode(const core::gateway::run_result& value);
+std::string encode(const core::gateway::peer_report& value);
+std::string encode(const orders_reply& value);
+std::string encode_orders_request(std::uint64_t from_offset);
+
+// All throw `codec_error` if the bytes are malformed or hold a value out of range.
+core::gateway::run_request decode_run_request(std::string_view bytes);
+core::gateway::run_result decode_run_result(std::string_view bytes);
+// `host`: the address that the report came from.
+core::gateway::peer_report decode_report(std::string_view bytes, const std::string& host);
+orders_reply decode_orders_reply(std::string_view bytes);
+std::uint64_t decode_orders_request(std::string_view bytes);
+
+} // namespace arbutuslb::runtime::wire
