Callers' edge reads no request later than 2.2 s after SIGTERM

Ruled out: a longer grace; the period is the platform's. Change: after 2.2 s the listener closes, idle connections close and the others close with their last due answer.

--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -45,8 +45,8 @@
 constexpr std::chrono::milliseconds unsafe_max_idle{1500};
 constexpr std::chrono::seconds usual_max_idle{4};
 constexpr std::chrono::milliseconds fetch_timeout{1000};
-// In the last part of a planned stop, idle connections of callers are closed.
-constexpr std::chrono::milliseconds close_idle_after{2000};
+// Callers are sent elsewhere by then; a request taken later might not end before the process.
+constexpr std::chrono::milliseconds stop_reading_after{2200};
 constexpr std::size_t max_datagram_size = 65507;
 
 std::uint64_t random_seed() {
@@ -490,8 +490,8 @@
       for (http::client* item : {&peer_client, &upstream_client, &store_connections}) {
         item->sweep(now);
       }
-      if (stopping_at != core::time_point{} && now - stopping_at >= close_idle_after) {
-        callers.close_idle();
+      if (stopping_at != core::time_point{} && now - stopping_at >= stop_reading_after) {
+        callers.stop_reading();
       }
     }
     handle(gateway::tick{});
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -65,7 +65,7 @@
       if (slot.token == token) {
         slot.is_ready = true;
         slot.closes = slot.closes || closes;
-        slot.wire = to_wire(response, slot.closes);
+        slot.answer = response;
         break;
       }
     }
@@ -96,6 +96,16 @@
     }
   }
 
+  // Closes at once, or when the requests that were read are answered.
+  void stop_reading() {
+    ends_after_slots_ = true;
+    if (slots_.empty() && !is_writing_) {
+      close();
+    } else if (!slots_.empty()) {
+      slots_.back().closes = true;
+    }
+  }
+
   bool is_idle() const { return slots_.empty() && !is_writing_ && !reader_.has_begun(); }
 
   void close() {
@@ -125,7 +135,7 @@
     std::uint64_t token = 0;
     bool is_ready = false;
     bool closes = false;
-    std::string wire;
+    core::http_response answer;
   };
 
   void wait_for_bytes() {
@@ -215,12 +225,10 @@
   // Answers a request that cannot be read, behind the answers that are due, and closes.
   void refuse(int status) {
     is_refusing_ = true;
-    core::http_response answer;
-    answer.status = status;
     answer_slot slot;
     slot.is_ready = true;
     slot.closes = true;
-    slot.wire = to_wire(answer, true);
+    slot.answer.status = status;
     slots_.push_back(std::move(slot));
     flush();
   }
@@ -234,7 +242,7 @@
     const std::shared_ptr<state> owner = owner_.lock();
     while (!slots_.empty() && slots_.front().is_ready && !closes_after_write_) {
       answer_slot& slot = slots_.front();
-      output_ += slot.wire;
+      output_ += to_wire(slot.answer, slot.closes);
       closes_after_write_ = slot.closes;
       if (owner) {
         owner->by_token.erase(slot.token);
@@ -354,13 +362,13 @@
   state_->closes_after_answers = true;
 }
 
-void server::close_idle() {
+void server::stop_reading() {
+  std::error_code ignored; // nothing is lost if the listener is closed already
+  state_->acceptor.close(ignored);
   const std::vector<std::shared_ptr<connection>> all(state_->connections.begin(),
                                                      state_->connections.end());
   for (const std::shared_ptr<connection>& item : all) {
-    if (item->is_idle()) {
-      item->close();
-    }
+    item->stop_reading();
   }
 }
 
--- a/src/arbutuslb/runtime/http/server.h
+++ b/src/arbutuslb/runtime/http/server.h
@@ -51,8 +51,8 @@
   void sweep(core::time_point now);
   // From now on each answer closes its connection.
   void close_after_answers();
-  // Closes the connections on which nothing is being read or answered.
-  void close_idle();
+  // Takes no further connections and reads no further requests; what was read is answered.
+  void stop_reading();
   std::size_t connection_count() const;
 
 private:
