--- a/src/arbutuslb/core/gateway/calls.h
+++ b/src/arbutuslb/core/gateway/calls.h
@@ -26,8 +26,8 @@
   std::string route;
   int rank = 0;
   bool is_idempotent = false;
-  duration time_left{};        // until the final answer is due
-  duration target_time_left{}; // until the answer loses value
+  duration time_left{};            // until the final answer is due
+  duration target_time_left{};     // until the answer loses value
   int rollout_share_permille = -1; // of the rollout that the version was chosen under; -1: none
   bool is_repeat = false;          // an earlier sending of it reached an upstream
 };
@@ -40,11 +40,11 @@
 
 struct run_result {
   run_outcome outcome = run_outcome::unknown;
-  http_response answer;     // of `answered`
-  std::string reason;       // of the other outcomes
+  http_response answer;          // of `answered`
+  std::string reason;            // of the other outcomes
   bool reached_upstream = false; // it arrived at an upstream, which may have refused it
-  duration retry_after{};   // of `not_run`: when there may be room again
-  int in_flight = -1;       // the gate's load; -1 if unknown
+  duration retry_after{};        // of `not_run`: when there may be room again
+  int in_flight = -1;            // the gate's load; -1 if unknown
   int waiting = 0;
 };
 
--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -55,8 +55,14 @@
   std::uint64_t end_offset = 0;
   bool is_whole = false; // holds the newest record of every key
 };
-struct report_received {
-  peer_report content;
+// Reports that came in one datagram from `from`; they may be of other daemons.
+struct reports_received {
+  std::string from; // address of the sender
+  std::vector<aged_report> reports;
+};
+// The store answered, or did not, when it was asked.
+struct store_contact_changed {
+  bool has_store = false;
 };
 // Daemons that registered themselves in the store; the own address may be among them.
 struct peers_found {
@@ -81,8 +87,8 @@
 
 using event = std::variant<tick, call_received, caller_left, run_requested, peer_left,
                            sending_ended, heartbeat_received, goodbye_received, orders_received,
-                           report_received, peers_found, outcomes_read, outcome_recorded,
-                           stop_requested>;
+                           reports_received, store_contact_changed, peers_found, outcomes_read,
+                           outcome_recorded, stop_requested>;
 
 // --- actions ---
 
@@ -115,9 +121,13 @@
   bool is_accepted = false;
   std::string reason;
 };
-struct send_report {
+struct send_reports {
   std::string host;
-  peer_report content;
+  std::vector<aged_report> reports;
+};
+// Begins or ends reading the operators' log as it grows.
+struct follow_orders {
+  bool is_wanted = false;
 };
 // Reads the operators' records that this daemon lacks from a peer.
 struct fetch_orders {
@@ -136,9 +146,9 @@
 };
 struct exit_process {};
 
-using action = std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream,
-                            cancel_sending, acknowledge_heartbeat, send_report, fetch_orders,
-                            find_peers, read_outcomes, record_outcome, engine::write_event,
-                            exit_process>;
+using action =
+    std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream, cancel_sending,
+                 acknowledge_heartbeat, send_reports, follow_orders, fetch_orders, find_peers,
+                 read_outcomes, record_outcome, engine::write_event, exit_process>;
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -10,15 +10,16 @@
 namespace arbutuslb::core::gateway {
 
 struct gateway_settings {
-  std::string name;   // of the instance
-  std::string host;   // the address at which peers reach this daemon
-  std::string domain; // its failure domain
+  std::string name;             // of the instance
+  std::string host;             // the address at which peers reach this daemon
+  std::string domain;           // its failure domain
   std::string service;          // of the upstream beside it, until a heartbeat says more
   std::string upstream_address; // HOST:PORT of the upstream beside it
   // Repeats at upstreams that all daemons together may send: this fraction of a service's requests
   // and this many more, within the platform's window.
   double retry_ratio = 0.2;
   double retry_extra = 60;
+  int strength = 1; // what the instance can carry, against the weakest; for duties
   // A planned stop is complete within this time.
   duration grace_period = std::chrono::seconds{6};
 };
@@ -27,12 +28,12 @@
 struct gateway_statistics {
   std::uint64_t calls = 0;
   std::uint64_t answered = 0;
-  std::uint64_t refused = 0;  // as not run
-  std::uint64_t unknown = 0;  // without a known outcome
+  std::uint64_t refused = 0; // as not run
+  std::uint64_t unknown = 0; // without a known outcome
   std::uint64_t not_found = 0;
   std::uint64_t callers_left = 0;
-  std::uint64_t repeats = 0;  // further sendings to an upstream
-  std::uint64_t runs = 0;     // requests given to the own upstream
+  std::uint64_t repeats = 0; // further sendings to an upstream
+  std::uint64_t runs = 0;    // requests given to the own upstream
   std::uint64_t runs_refused = 0;
   std::uint64_t reports_sent = 0;
   std::uint64_t reports_received = 0;
@@ -61,7 +62,9 @@
   std::uint64_t boot;
   std::uint64_t last_number = 0;
   bool is_stopping = false;
-  bool wants_report = false; // peers should learn of a change at once
+  // Peers should learn of a change at once: those of the own failure domain, or all.
+  bool wants_near_report = false;
+  bool wants_report = false;
   gateway_statistics totals;
   std::vector<action> actions;
 };
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -5,18 +5,34 @@
 namespace arbutuslb::core::gateway {
 namespace {
 
-// Peers of the own failure domain hear more often than others, whose bytes cost more.
+// Peers of the own failure domain hear each other directly.
 constexpr std::chrono::milliseconds near_report_period{500};
-constexpr std::chrono::milliseconds far_report_period{1000};
+// Two daemons of each failure domain speak for it to the others, in one bundle of reports each.
+constexpr std::size_t speakers_per_domain = 2;
+constexpr std::chrono::milliseconds bundle_period{1600};
+constexpr std::size_t reports_per_datagram = 10;
+// A peer of another domain that no bundle names is asked directly.
+constexpr std::chrono::milliseconds far_silence{3000};
+constexpr std::chrono::milliseconds far_report_period{2000};
 // A contact that has not been heard for this long is forgotten.
 constexpr std::chrono::seconds contact_memory{60};
 // The own entry in the directory is brought up to date at most this often by ticks.
 constexpr std::chrono::milliseconds own_report_period{100};
+constexpr std::chrono::milliseconds evidence_period{250};
+constexpr std::size_t evidence_receivers = 2;
 constexpr std::chrono::milliseconds first_search_period{700};
-constexpr std::chrono::seconds search_period{20};
-// A push or the own read of the log comes first; then the gap is fetched from a peer.
-constexpr std::chrono::milliseconds pull_patience{250};
-constexpr std::chrono::milliseconds pull_period{500};
+constexpr std::chrono::seconds search_period{60};
+// Two daemons of each failure domain read the operators' log; the others fetch from their peers.
+constexpr std::size_t readers_per_domain = 2;
+constexpr std::chrono::milliseconds reader_choice_period{200};
+// A daemon that lost the store is held to have it again after this time, and tries.
+constexpr std::chrono::seconds store_retry_time{5};
+// Fetches of one domain are spread over this time, so that later ones find more sources.
+constexpr std::chrono::milliseconds fetch_spread{100};
+// A reader's own read comes first; so does the own domain before others.
+constexpr std::chrono::milliseconds reader_patience{400};
+constexpr std::chrono::milliseconds far_patience{600};
+constexpr std::chrono::milliseconds fetch_period{300};
 // Callers are told within two readiness checks; open connections are served that long.
 constexpr std::chrono::milliseconds min_stopping_time{2300};
 // Kept free at the end of the grace period.
@@ -39,7 +55,11 @@
   void operator()(const heartbeat_received& value) const { core.gate_.on_heartbeat(value); }
   void operator()(const goodbye_received& value) const { core.gate_.on_goodbye(value); }
   void operator()(orders_received& value) const { core.on_orders(std::move(value)); }
-  void operator()(const report_received& value) const { core.on_report(value.content); }
+  void operator()(const reports_received& value) const { core.on_reports(value); }
+  void operator()(const store_contact_changed& value) const {
+    core.has_store_ = value.has_store;
+    core.store_lost_at_ = value.has_store ? time_point{} : core.shared_.now;
+  }
   void operator()(const peers_found& value) const { core.on_peers_found(value); }
   void operator()(const outcomes_read& value) const { core.rollouts_.on_outcomes(value); }
   void operator()(const outcome_recorded& value) const { core.rollouts_.on_recorded(value); }
@@ -77,8 +97,8 @@
       is_settled = false;
     }
   }
-  if (shared_.wants_report) {
-    report_to_all();
+  if (shared_.wants_report || shared_.wants_near_report) {
+    report_change(shared_.wants_report);
   }
 }
 
@@ -100,6 +120,9 @@
   router_.on_tick();
   rollouts_.on_tick();
   send_due_reports();
+  send_evidence();
+  speak_for_domain();
+  choose_readers();
   pull_orders();
   look_for_peers();
   shared_.directory.forget_silent(shared_.now);
@@ -116,8 +139,9 @@
     const std::string key = record.key;
     const std::uint64_t offset = record.offset;
     if (const auto* unreadable = std::get_if<unreadable_order>(&record.value)) {
-      shared_.write(engine::severity::error, "order_unreadable",
-                    {{"key", key}, {"offset", std::to_string(offset)}, {"reason", unreadable->reason}});
+      shared_.write(
+          engine::severity::error, "order_unreadable",
+          {{"key", key}, {"offset", std::to_string(offset)}, {"reason", unreadable->reason}});
     }
     if (!shared_.orders.apply(std::move(record))) {
       continue;
@@ -130,22 +154,52 @@
   if (has_news) {
     rollouts_.on_orders();
     gate_.on_orders();
-    shared_.wants_report = true;
+    shared_.wants_near_report = true;
+  }
+}
+
+void gateway_core::choose_readers() {
+  if (shared_.now - readers_chosen_at_ < reader_choice_period) {
+    return;
+  }
+  readers_chosen_at_ = shared_.now;
+  if (!has_store_ && shared_.now - store_lost_at_ >= store_retry_time) {
+    has_store_ = true;
+  }
+  const std::vector<std::string> readers = shared_.directory.duty_holders(
+      "orders", shared_.settings.domain, readers_per_domain, shared_.now);
+  const bool is_chosen = !shared_.is_stopping && std::find(readers.begin(), readers.end(),
+                                                           shared_.settings.host) != readers.end();
+  if (is_chosen != is_reader_) {
+    is_reader_ = is_chosen;
+    shared_.write(engine::severity::info, "reader_changed",
+                  {{"is_reader", is_reader_ ? "true" : "false"},
+                   {"orders_end", std::to_string(shared_.orders.end_offset())}});
+    shared_.act(follow_orders{is_reader_});
   }
 }
 
 void gateway_core::pull_orders() {
-  const auto [offset, host] = shared_.directory.furthest_peer(shared_.now);
-  if (offset <= shared_.orders.end_offset()) {
+  const std::uint64_t end = shared_.orders.end_offset();
+  if (!shared_.directory.peer_ahead(end, true, shared_.now, shared_.random)) {
     behind_since_ = {};
     return;
   }
   if (behind_since_ == time_point{}) {
+    const duration patience =
+        is_reader_ ? duration{reader_patience} : shared_.random.jitter(fetch_spread);
     behind_since_ = shared_.now;
+    next_pull_ = std::max(next_pull_, shared_.now + patience);
   }
-  if (shared_.now - behind_since_ >= pull_patience && shared_.now >= next_pull_) {
-    next_pull_ = shared_.now + pull_period;
-    shared_.act(fetch_orders{host, shared_.orders.end_offset()});
+  if (shared_.now < next_pull_) {
+    return;
+  }
+  const bool allows_far = shared_.now - behind_since_ >= far_patience;
+  const std::optional<std::string> host =
+      shared_.directory.peer_ahead(end, allows_far, shared_.now, shared_.random);
+  if (host) {
+    next_pull_ = shared_.now + fetch_period;
+    shared_.act(fetch_orders{*host, end});
   }
 }
 
@@ -162,6 +216,8 @@
   gate_.describe(report);
   report.orders_end = shared_.orders.configuration() ? shared_.orders.end_offset() : 0;
   report.rollouts = rollouts_.progress();
+  report.has_store = has_store_;
+  report.strength = shared_.settings.strength;
   return report;
 }
 
@@ -169,17 +225,25 @@
   peer_report report = own_report();
   report.wants_reply = wants_reply;
   ++shared_.totals.reports_sent;
-  shared_.act(send_report{host, std::move(report)});
+  shared_.act(send_reports{host, {{std::move(report), {}}}});
 }
 
-void gateway_core::report_to_all() {
+bool gateway_core::is_near(const std::string& host) const {
+  const auto peer = shared_.directory.peers().find(host);
+  return peer != shared_.directory.peers().end() &&
+         peer->second.report.domain == shared_.settings.domain;
+}
+
+void gateway_core::report_change(bool includes_far) {
   shared_.wants_report = false;
+  shared_.wants_near_report = false;
   const peer_report report = own_report();
   shared_.directory.merge(report, shared_.now);
-  rollouts_.on_report(report);
   for (auto& [host, known] : contacts_) {
-    ++shared_.totals.reports_sent;
-    shared_.act(send_report{host, report});
+    if (includes_far || is_near(host)) {
+      ++shared_.totals.reports_sent;
+      shared_.act(send_reports{host, {{report, {}}}});
+    }
   }
 }
 
@@ -192,23 +256,96 @@
     if (shared_.now < known.next_report) {
       continue;
     }
-    const auto peer = shared_.directory.peers().find(host);
-    const bool is_near = peer != shared_.directory.peers().end() &&
-                         peer->second.report.domain == shared_.settings.domain;
-    const duration period = is_near ? near_report_period : far_report_period;
+    const bool near = is_near(host);
+    const duration period = near ? near_report_period : far_report_period;
     known.next_report = shared_.now + period * 3 / 4 + shared_.random.jitter(period / 2);
-    report_to(host, false);
+    if (near || shared_.now - known.heard_at >= far_silence) {
+      report_to(host, false);
+    }
+  }
+}
+
+// The judges of the own service's rollout hear the evidence directly.
+void gateway_core::send_evidence() {
+  if (shared_.now < next_evidence_) {
+    return;
+  }
+  next_evidence_ = shared_.now + evidence_period;
+  std::optional<protocol::evidence_report> evidence = gate_.rollout_evidence();
+  if (!evidence) {
+    return;
+  }
+  peer_report report = own_report();
+  report.evidence.push_back(std::move(*evidence));
+  for (const std::string& host : shared_.directory.duty_holders(
+           rollout_conductor::duty_of(report.service), "", evidence_receivers, shared_.now)) {
+    if (host == shared_.settings.host) {
+      rollouts_.on_report(report);
+    } else {
+      ++shared_.totals.reports_sent;
+      shared_.act(send_reports{host, {{report, {}}}});
+    }
+  }
+}
+
+void gateway_core::speak_for_domain() {
+  if (shared_.now < next_bundle_) {
+    return;
+  }
+  next_bundle_ = shared_.now + bundle_period * 3 / 4 + shared_.random.jitter(bundle_period / 2);
+  const std::vector<std::string> speakers = shared_.directory.duty_holders(
+      "speaker", shared_.settings.domain, speakers_per_domain, shared_.now);
+  if (std::find(speakers.begin(), speakers.end(), shared_.settings.host) == speakers.end()) {
+    return;
+  }
+  const std::vector<aged_report> reports = shared_.directory.domain_reports(shared_.now);
+  ++bundles_sent_;
+  for (const std::string& domain : shared_.directory.other_domains()) {
+    const std::vector<std::string> listeners =
+        shared_.directory.duty_holders("speaker", domain, speakers_per_domain, shared_.now);
+    if (listeners.empty()) {
+      continue;
+    }
+    const std::string& host = listeners[bundles_sent_ % listeners.size()];
+    for (std::size_t first = 0; first < reports.size(); first += reports_per_datagram) {
+      const std::size_t last = std::min(reports.size(), first + reports_per_datagram);
+      ++shared_.totals.reports_sent;
+      shared_.act(send_reports{host,
+                               {reports.begin() + static_cast<std::ptrdiff_t>(first),
+                                reports.begin() + static_cast<std::ptrdiff_t>(last)}});
+    }
+  }
+}
+
+void gateway_core::pass_on(const std::vector<aged_report>& reports) {
+  for (const auto& [host, known] : contacts_) {
+    if (is_near(host)) {
+      ++shared_.totals.reports_sent;
+      shared_.act(send_reports{host, reports});
+    }
+  }
+}
+
+void gateway_core::on_reports(const reports_received& value) {
+  for (const aged_report& item : value.reports) {
+    on_report(item);
+  }
+  const bool is_bundle = !value.reports.empty() && value.reports.front().age > duration::zero();
+  if (is_bundle && !is_near(value.from)) {
+    pass_on(value.reports);
   }
 }
 
-void gateway_core::on_report(const peer_report& report) {
+void gateway_core::on_report(const aged_report& aged) {
+  const peer_report& report = aged.content;
   if (report.host == shared_.settings.host) {
     return;
   }
   ++shared_.totals.reports_received;
+  const time_point heard_at = shared_.now - aged.age;
   contact& known = contacts_[report.host];
-  known.heard_at = shared_.now;
-  const peer_directory::merge_result merged = shared_.directory.merge(report, shared_.now);
+  known.heard_at = std::max(known.heard_at, heard_at);
+  const peer_directory::merge_result merged = shared_.directory.merge(report, heard_at);
   if (merged.is_changed) {
     shared_.write(engine::severity::info, "peer_changed",
                   {{"peer", report.name},
@@ -217,7 +354,8 @@
                    {"version", report.version},
                    {"usable", report.is_usable ? "true" : "false"},
                    {"stopping", report.is_stopping ? "true" : "false"},
-                   {"cold_rate", std::to_string(static_cast<int>(report.cold_rate))}});
+                   {"cold_rate", std::to_string(static_cast<int>(report.cold_rate))},
+                   {"age_ms", std::to_string(to_milliseconds(aged.age))}});
   }
   rollouts_.on_report(report);
   if (report.wants_reply) {
--- a/src/arbutuslb/core/gateway/gateway_core.h
+++ b/src/arbutuslb/core/gateway/gateway_core.h
@@ -39,15 +39,22 @@
 
   void on_tick();
   void on_orders(orders_received value);
-  void on_report(const peer_report& report);
+  void on_reports(const reports_received& value);
+  void on_report(const aged_report& report);
   void on_peers_found(const peers_found& found);
   void begin_stopping();
   void finish_stopping();
   void settle();
   peer_report own_report();
   void report_to(const std::string& host, bool wants_reply);
-  void report_to_all();
+  // Reports to the peers of the own failure domain, or to all.
+  void report_change(bool includes_far);
   void send_due_reports();
+  void send_evidence();
+  void speak_for_domain();
+  void pass_on(const std::vector<aged_report>& reports);
+  bool is_near(const std::string& host) const;
+  void choose_readers();
   void pull_orders();
   void look_for_peers();
 
@@ -57,6 +64,13 @@
   request_router router_;
   std::map<std::string, contact> contacts_; // by host
   time_point next_search_{};
+  time_point next_bundle_{};
+  time_point next_evidence_{};
+  time_point readers_chosen_at_{};
+  std::uint64_t bundles_sent_ = 0;
+  bool is_reader_ = false;
+  bool has_store_ = true;
+  time_point store_lost_at_{};
   time_point behind_since_{};
   time_point next_pull_{};
   time_point own_report_at_{};
--- a/src/arbutuslb/core/gateway/operator_state.h
+++ b/src/arbutuslb/core/gateway/operator_state.h
@@ -37,7 +37,7 @@
 struct operator_record {
   std::uint64_t offset = 0;
   std::string key;
-  std::string raw; // as stored, to pass on to peers
+  std::string raw; // as stored and compressed, to pass on to peers
   order value;
 };
 
--- /dev/null
+++ b/src/arbutuslb/core/gateway/parts_test.cc
@@ -0,0 +1,94 @@
+// The parts of the data path on their own.
+
+#include "arbutuslb/core/gateway/mesh_configuration.h"
+#include "arbutuslb/core/gateway/run_queue.h"
+#include "arbutuslb/core/gateway/upstream_registry.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace arbutuslb::core::gateway;
+using arbutuslb::core::time_point;
+
+const time_point start{1000s};
+
+heartbeat beat(std::uint64_t sequence, std::int64_t started_ms = 5) {
+  heartbeat value;
+  value.instance_id = "i-1";
+  value.started_ms = started_ms;
+  value.sequence = sequence;
+  value.service = "menu";
+  value.version = "v1";
+  value.address = "10.0.0.1:80";
+  value.slots = 4;
+  return value;
+}
+
+} // namespace
+
+Test(mesh_configuration, the_longest_prefix_wins) {
+  mesh_configuration configuration;
+  for (const char* prefix : {"/", "/a/", "/a/b/"}) {
+    route_policy route;
+    route.name = prefix;
+    configuration.routes["x.example"][prefix] = route;
+  }
+  cr_assert(configuration.match("x.example", "/a/b/c?d=/e/")->name == std::string("/a/b/"));
+  cr_assert(configuration.match("X.example:80", "/a/c")->name == std::string("/a/"));
+  cr_assert(configuration.match("x.example", "/a")->name == std::string("/"));
+  cr_assert(configuration.match("y.example", "/a/") == nullptr);
+}
+
+Test(run_queue, urgent_ranks_go_first_and_hopeless_ones_are_refused_at_once) {
+  run_queue queue;
+  queue.set_limit(1);
+  cr_assert(queue.offer({1, 2, start + 1s}, start) == offer_verdict::run);
+  cr_assert(queue.offer({2, 2, start + 1s}, start) == offer_verdict::queued);
+  cr_assert(queue.offer({3, 0, start + 1s}, start) == offer_verdict::queued);
+  cr_assert(queue.offer({4, 2, start + 1ms}, start) == offer_verdict::refused);
+  cr_assert_not((queue.next(start).has_value()));
+  queue.release(std::nullopt);
+  cr_assert(*queue.next(start) == 3);
+  queue.release(std::nullopt);
+  cr_assert(*queue.next(start) == 2);
+}
+
+Test(run_queue, the_rate_of_a_cold_upstream_slides) {
+  run_queue queue;
+  queue.set_limit(100);
+  queue.set_rate(3);
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    cr_assert(queue.offer({i, 0, start + 5s}, start + i * 100ms) == offer_verdict::run);
+  }
+  cr_assert(queue.offer({9, 0, start + 5s}, start + 300ms) == offer_verdict::queued);
+  cr_assert_not((queue.next(start + 999ms).has_value()));
+  cr_assert(*queue.next(start + 1000ms) == 9);
+}
+
+Test(upstream_registry, late_repeated_and_reordered_heartbeats_change_nothing) {
+  upstream_registry registry("10.0.0.1:80");
+  cr_assert(registry.on_heartbeat(beat(2), start) == heartbeat_verdict::accepted);
+  cr_assert(registry.on_heartbeat(beat(2), start) == heartbeat_verdict::stale);
+  cr_assert(registry.on_heartbeat(beat(1), start) == heartbeat_verdict::stale);
+  heartbeat foreign = beat(3);
+  foreign.address = "10.0.0.2:80";
+  cr_assert(registry.on_heartbeat(foreign, start) == heartbeat_verdict::foreign);
+  heartbeat leaving = beat(4);
+  leaving.state = upstream_lifecycle::draining;
+  cr_assert(registry.on_heartbeat(leaving, start) == heartbeat_verdict::accepted);
+  cr_assert(registry.on_heartbeat(beat(5), start) == heartbeat_verdict::already_leaving);
+  cr_assert_not((registry.is_usable(start)));
+  // The same id, started again: its count starts anew.
+  cr_assert(registry.on_heartbeat(beat(1, 9), start) == heartbeat_verdict::accepted);
+  cr_assert(registry.is_usable(start));
+  cr_assert(registry.on_heartbeat(beat(6, 5), start) == heartbeat_verdict::stale);
+}
+
+Test(upstream_registry, one_that_said_goodbye_does_not_return_by_a_late_heartbeat) {
+  upstream_registry registry("10.0.0.1:80");
+  registry.on_goodbye("i-1", start);
+  cr_assert(registry.on_heartbeat(beat(3), start) == heartbeat_verdict::already_leaving);
+  cr_assert_not((registry.is_usable(start)));
+}
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -3,7 +3,8 @@
 #include "arbutuslb/core/base/hash.h"
 
 #include <algorithm>
-#include <cmath>
+#include <functional>
+#include <tuple>
 
 namespace arbutuslb::core::gateway {
 namespace {
@@ -34,16 +35,15 @@
     return {};
   }
   const peer_report& before = known.report;
-  const bool is_changed = is_new || before.is_usable != report.is_usable ||
-                          before.instance_id != report.instance_id ||
-                          before.is_stopping != report.is_stopping ||
-                          (before.cold_rate > 0) != (report.cold_rate > 0);
+  const bool is_changed =
+      is_new || before.is_usable != report.is_usable || before.instance_id != report.instance_id ||
+      before.is_stopping != report.is_stopping || (before.cold_rate > 0) != (report.cold_rate > 0);
   if (is_changed) {
     known.closed_until = {};
     known.failures_in_row = 0;
   }
   known.report = report;
-  known.heard_at = now;
+  known.heard_at = std::max(known.heard_at, now);
   known.own_requests_counted = known.own_requests;
   return {is_new, is_changed};
 }
@@ -98,11 +98,10 @@
   double best_risk = 0;
   for (const auto& [host, candidate] : peers_) {
     const peer_report& report = candidate.report;
-    const bool is_possible = report.service == query.service && report.is_usable &&
-                             !report.is_stopping && !closed.contains(report.domain) &&
-                             now >= candidate.closed_until &&
-                             (query.allows_silent || is_live(candidate, now)) &&
-                             query.allows_version(report.version);
+    const bool is_possible =
+        report.service == query.service && report.is_usable && !report.is_stopping &&
+        !closed.contains(report.domain) && now >= candidate.closed_until &&
+        (query.allows_silent || is_live(candidate, now)) && query.allows_version(report.version);
     if (!is_possible ||
         std::find(query.tried.begin(), query.tried.end(), host) != query.tried.end()) {
       continue;
@@ -187,20 +186,22 @@
 }
 
 std::size_t peer_directory::live_count(time_point now) const {
-  return static_cast<std::size_t>(
-      std::count_if(peers_.begin(), peers_.end(),
-                    [&](const auto& item) { return is_live(item.second, now); }));
+  return static_cast<std::size_t>(std::count_if(
+      peers_.begin(), peers_.end(), [&](const auto& item) { return is_live(item.second, now); }));
 }
 
-std::pair<std::uint64_t, std::string> peer_directory::furthest_peer(time_point now) const {
-  std::pair<std::uint64_t, std::string> furthest{0, ""};
+std::optional<std::string> peer_directory::peer_ahead(std::uint64_t end_offset, bool allows_far,
+                                                      time_point now, random_source& random) const {
+  std::vector<std::string> ahead;
   for (const auto& [host, candidate] : peers_) {
-    if (host != own_host_ && is_live(candidate, now) &&
-        candidate.report.orders_end > furthest.first) {
-      furthest = {candidate.report.orders_end, host};
+    const bool is_near = candidate.report.domain == own_domain_;
+    if (host != own_host_ && is_live(candidate, now) && (is_near || allows_far) &&
+        candidate.report.orders_end > end_offset) {
+      ahead.push_back(host);
     }
   }
-  return furthest;
+  return ahead.empty() ? std::nullopt
+                       : std::optional<std::string>(ahead[random.below(ahead.size())]);
 }
 
 std::string peer_directory::oldest_version(std::string_view service) const {
@@ -224,18 +225,50 @@
   });
 }
 
-std::string peer_directory::duty_holder(std::string_view duty, time_point now) const {
+std::vector<std::string> peer_directory::duty_holders(std::string_view duty,
+                                                      const std::string& domain, std::size_t count,
+                                                      time_point now) const {
   const std::uint64_t key = hash_bytes(duty);
-  std::string holder = own_host_;
-  std::uint64_t best = rendezvous_weight(key, hash_bytes(own_host_));
+  using rank = std::tuple<bool, int, std::uint64_t, std::string>;
+  std::vector<rank> ranks;
   for (const auto& [host, candidate] : peers_) {
-    const std::uint64_t weight = rendezvous_weight(key, hash_bytes(host));
-    if (is_live(candidate, now) && !candidate.report.is_stopping && weight > best) {
-      best = weight;
-      holder = host;
+    const peer_report& report = candidate.report;
+    if (is_live(candidate, now) && !report.is_stopping &&
+        (domain.empty() || report.domain == domain)) {
+      ranks.emplace_back(report.has_store, report.strength,
+                         rendezvous_weight(key, hash_bytes(host)), host);
+    }
+  }
+  const std::size_t taken = std::min(count, ranks.size());
+  std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(taken), ranks.end(),
+                    std::greater<>());
+  std::vector<std::string> holders;
+  for (std::size_t i = 0; i < taken; ++i) {
+    holders.push_back(std::get<std::string>(ranks[i]));
+  }
+  return holders;
+}
+
+std::vector<aged_report> peer_directory::domain_reports(time_point now) const {
+  std::vector<aged_report> reports;
+  for (const auto& [host, candidate] : peers_) {
+    if (candidate.report.domain == own_domain_ && is_live(candidate, now)) {
+      // An age of at least one tells the report from the sender's own.
+      reports.push_back({candidate.report, std::max(duration{1}, now - candidate.heard_at)});
+      reports.back().content.evidence.clear();
+    }
+  }
+  return reports;
+}
+
+std::set<std::string> peer_directory::other_domains() const {
+  std::set<std::string> domains;
+  for (const auto& [host, candidate] : peers_) {
+    if (candidate.report.domain != own_domain_) {
+      domains.insert(candidate.report.domain);
     }
   }
-  return holder;
+  return domains;
 }
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -46,8 +46,9 @@
   merge_result merge(const peer_report& report, time_point now);
   void forget_silent(time_point now);
 
-  std::optional<std::string> choose(const upstream_query& query, const std::set<std::string>& closed,
-                                    time_point now, random_source& random);
+  std::optional<std::string> choose(const upstream_query& query,
+                                    const std::set<std::string>& closed, time_point now,
+                                    random_source& random);
 
   // Bookkeeping of the own requests, so that a choice counts what a report does not show yet.
   void on_sent(const std::string& host);
@@ -65,13 +66,20 @@
   bool has_usable(std::string_view service, time_point now) const;
   // Number of daemons heard lately, this one included.
   std::size_t live_count(time_point now) const;
-  // The highest offset of the operators' records among peers heard lately, with the peer's host.
-  std::pair<std::uint64_t, std::string> furthest_peer(time_point now) const;
+  // A peer heard lately that holds more of the operators' records than up to `end_offset`; of the
+  // own failure domain, or, if `allows_far`, of any.
+  std::optional<std::string> peer_ahead(std::uint64_t end_offset, bool allows_far, time_point now,
+                                        random_source& random) const;
   // The version of the longest-running upstream of the service; empty if none is known.
   std::string oldest_version(std::string_view service) const;
   bool has_version(std::string_view service, std::string_view version, time_point now) const;
-  // Names the live daemon that holds a duty, by rendezvous hash.
-  std::string duty_holder(std::string_view duty, time_point now) const;
+  // The live daemons that hold a duty for a failure domain, or for all if `domain` is empty: those
+  // in contact with the store first, then the strongest, then by rendezvous hash. `count` at most.
+  std::vector<std::string> duty_holders(std::string_view duty, const std::string& domain,
+                                        std::size_t count, time_point now) const;
+  // The reports of the live daemons of the own failure domain, with their ages.
+  std::vector<aged_report> domain_reports(time_point now) const;
+  std::set<std::string> other_domains() const;
 
   struct peer {
     peer_report report;
--- a/src/arbutuslb/core/gateway/peer_report.h
+++ b/src/arbutuslb/core/gateway/peer_report.h
@@ -52,8 +52,16 @@
   duration mean_latency{};
   std::vector<route_latency> routes;
   std::uint64_t orders_end = 0; // offset after the last operators' record that the sender holds
+  bool has_store = true;        // the store answered when it was last asked
+  int strength = 0;             // what the instance can carry, against the weakest; for duties
   std::vector<rollout_progress> rollouts;
   std::vector<protocol::evidence_report> evidence;
 };
 
+// A report with the time since it was heard; zero for the sender's own.
+struct aged_report {
+  peer_report content;
+  duration age{};
+};
+
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds no_configuration_retry_after{500};
 // A gate that refused for lack of room is left out this long.
 constexpr std::chrono::milliseconds refused_pause{20};
+// A request is taken back from a peer that has been silent for this long.
+constexpr std::chrono::milliseconds sending_silence_limit{3500};
 // The gate answers at the deadline; its answer has this long to arrive.
 constexpr std::chrono::milliseconds answer_grace{60};
 // The budget is shared by all daemons, whose traffic is uneven: each spends this part of it.
@@ -55,9 +57,9 @@
   if (rollout != nullptr && rollout->phase == rollout_phase::running) {
     fresh.rollout_share_permille = rollout->share_permille;
   }
-  const double own_extra = own_budget_fraction * shared_.settings.retry_extra /
-                           static_cast<double>(std::max<std::size_t>(
-                               1, shared_.directory.live_count(shared_.now)));
+  const double own_extra =
+      own_budget_fraction * shared_.settings.retry_extra /
+      static_cast<double>(std::max<std::size_t>(1, shared_.directory.live_count(shared_.now)));
   budgets_.try_emplace(fresh.service, std::max(1.0, own_extra))
       .first->second.on_call(own_budget_fraction * shared_.settings.retry_ratio);
   dispatch(std::move(fresh));
@@ -79,7 +81,8 @@
     return host;
   }
   if (value.wants_new_version && rollout->phase == rollout_phase::running) {
-    value.wants_new_version = false; // the old version is a refuge from the new one, not the reverse
+    value.wants_new_version =
+        false; // the old version is a refuge from the new one, not the reverse
     return shared_.directory.choose(query, shared_.orders.withdrawn_domains(), shared_.now,
                                     shared_.random);
   }
@@ -100,8 +103,7 @@
 }
 
 void request_router::send(pending_call value, const std::string& host) {
-  const known_upstream* own =
-      shared_.registry.known() ? &*shared_.registry.known() : nullptr;
+  const known_upstream* own = shared_.registry.known() ? &*shared_.registry.known() : nullptr;
   const auto peer = shared_.directory.peers().find(host);
   value.host = host;
   value.sent = shared_.now;
@@ -160,8 +162,8 @@
 }
 
 void request_router::continue_after(pending_call value) {
-  const bool is_failure = value.last.outcome != run_outcome::answered ||
-                          value.last.answer.status >= first_error_status;
+  const bool is_failure =
+      value.last.outcome != run_outcome::answered || value.last.answer.status >= first_error_status;
   if (!is_failure || !may_send_again(value)) {
     finish(value);
     return;
@@ -304,12 +306,15 @@
 
 void request_router::on_tick() {
   std::vector<std::uint64_t> ended;
+  // A daemon that hears hardly anybody may itself be slow or cut off.
+  const bool hears_others =
+      shared_.directory.live_count(shared_.now) * 2 > shared_.directory.peers().size();
   for (const auto& [sending, value] : pending_) {
     const auto peer = shared_.directory.peers().find(value.host);
     const bool is_silent = peer == shared_.directory.peers().end() ||
-                           shared_.now - peer->second.heard_at >= peer_silence_limit;
+                           shared_.now - peer->second.heard_at >= sending_silence_limit;
     if (shared_.now >= value.answer_by + answer_grace ||
-        (is_silent && value.route->is_idempotent)) {
+        (is_silent && hears_others && value.route->is_idempotent && !shared_.is_stopping)) {
       ended.push_back(sending);
     }
   }
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -76,7 +76,7 @@
 
   gateway_context& shared_;
   rollout_conductor& rollouts_;
-  std::map<std::string, weighted_split> splits_; // by route
+  std::map<std::string, weighted_split> splits_;         // by route
   std::map<std::string, routing::retry_budget> budgets_; // by service
   std::map<std::uint64_t, pending_call> pending_;        // by sending
   std::map<std::uint64_t, std::uint64_t> sendings_;      // by the caller's token
--- a/src/arbutuslb/core/gateway/rollout_conductor.cc
+++ b/src/arbutuslb/core/gateway/rollout_conductor.cc
@@ -59,11 +59,11 @@
   }
 }
 
-void rollout_conductor::advance(rollout& value, int share_permille, rollout_phase phase) {
+bool rollout_conductor::advance(rollout& value, int share_permille, rollout_phase phase) {
   const bool is_later_phase = phase > value.phase;
   const bool is_higher = share_permille > value.share_permille;
   if (!is_later_phase && !is_higher) {
-    return;
+    return false;
   }
   if (is_later_phase) {
     value.phase = phase;
@@ -73,13 +73,14 @@
     value.share_permille = share_permille;
     value.step_since = shared_.now;
   }
-  shared_.wants_report = true;
+  shared_.wants_near_report = true;
   shared_.write(engine::severity::info, "rollout_step",
                 {{"service", value.order.service},
                  {"version", value.order.target_version},
                  {"id", std::to_string(value.id)},
                  {"share_permille", std::to_string(value.share_permille)},
                  {"phase", to_string(value.phase)}});
+  return true;
 }
 
 void rollout_conductor::on_report(const peer_report& report) {
@@ -144,7 +145,9 @@
   }
   judged_at_ = shared_.now;
   for (auto& [service, value] : rollouts_) {
-    if (shared_.directory.duty_holder("rollout " + service, shared_.now) != shared_.settings.host) {
+    const std::vector<std::string> holders =
+        shared_.directory.duty_holders(duty_of(service), "", 1, shared_.now);
+    if (holders.empty() || holders.front() != shared_.settings.host) {
       continue;
     }
     if (value.phase == rollout_phase::running) {
@@ -181,6 +184,7 @@
     advance(value, full_share_permille, rollout_phase::completed);
     break;
   }
+  shared_.wants_report = true;
   shared_.write(engine::severity::info, "rollout_judged",
                 {{"service", value.order.service},
                  {"id", std::to_string(value.id)},
@@ -188,8 +192,8 @@
 }
 
 void rollout_conductor::record(rollout& value) {
-  const bool is_settled = value.phase == rollout_phase::rolled_back ||
-                          shared_.now - value.phase_since >= settle_time;
+  const bool is_settled =
+      value.phase == rollout_phase::rolled_back || shared_.now - value.phase_since >= settle_time;
   if (value.is_recorded || value.is_recording || !is_settled || shared_.now < value.record_after) {
     return;
   }
@@ -199,8 +203,8 @@
     return;
   }
   value.is_recording = true;
-  shared_.act(record_outcome{value.order.service, value.order.target_version, value.phase,
-                             outcomes_end_});
+  shared_.act(
+      record_outcome{value.order.service, value.order.target_version, value.phase, outcomes_end_});
 }
 
 const rollout_conductor::rollout* rollout_conductor::find(std::string_view service) const {
--- a/src/arbutuslb/core/gateway/rollout_conductor.h
+++ b/src/arbutuslb/core/gateway/rollout_conductor.h
@@ -46,11 +46,14 @@
   bool allows(std::string_view service, const std::string& version, bool wants_new) const;
 
   std::vector<rollout_progress> progress() const;
+  // The name of the duty to judge the rollouts of a service.
+  static std::string duty_of(const std::string& service) { return "rollout " + service; }
   // The version label under which evidence of an upstream's version is counted.
   static std::string label_of(const rollout& value, const std::string& version);
 
 private:
-  void advance(rollout& value, int share_permille, rollout_phase phase);
+  // Returns true if that is news.
+  bool advance(rollout& value, int share_permille, rollout_phase phase);
   void judge(rollout& value);
   void record(rollout& value);
 
--- a/src/arbutuslb/core/gateway/run_queue.cc
+++ b/src/arbutuslb/core/gateway/run_queue.cc
@@ -31,7 +31,9 @@
 }
 
 offer_verdict run_queue::offer(const waiting_run& request, time_point now) {
-  const auto is_urgent_enough = [&](const waiting_run& other) { return other.rank <= request.rank; };
+  const auto is_urgent_enough = [&](const waiting_run& other) {
+    return other.rank <= request.rank;
+  };
   const bool is_first = std::none_of(waiting_.begin(), waiting_.end(), is_urgent_enough);
   if (is_first && may_start(now)) {
     note_start(now);
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -69,6 +69,9 @@
   if (shared_.is_stopping) {
     return "daemon is leaving";
   }
+  if (!shared_.orders.configuration()) {
+    return "no configuration yet";
+  }
   if (!shared_.registry.is_usable(shared_.now)) {
     return "upstream is not ready";
   }
@@ -270,8 +273,8 @@
     return;
   }
   const known_upstream& known = *shared_.registry.known();
-  const bool is_new = !before || before->instance_id != known.instance_id ||
-                      before->started_ms != known.started_ms;
+  const bool is_new =
+      !before || before->instance_id != known.instance_id || before->started_ms != known.started_ms;
   if (is_new || before->state != known.state) {
     shared_.wants_report = true;
     shared_.write(engine::severity::info, "upstream_state",
@@ -296,10 +299,9 @@
 void upstream_gate::on_goodbye(const goodbye_received& value) {
   const bool is_known = shared_.registry.on_goodbye(value.instance_id, shared_.now);
   shared_.act(acknowledge_heartbeat{value.token, true, "gone"});
-  shared_.write(engine::severity::info, "upstream_state",
-                {{"instance", value.instance_id},
-                 {"state", "gone"},
-                 {"known", is_known ? "true" : "false"}});
+  shared_.write(
+      engine::severity::info, "upstream_state",
+      {{"instance", value.instance_id}, {"state", "gone"}, {"known", is_known ? "true" : "false"}});
   shared_.wants_report = true;
   if (is_known) {
     refuse_waiting("upstream is leaving");
@@ -342,7 +344,7 @@
   report.instance_id = known->instance_id;
   report.version = known->version;
   report.upstream_started_ms = known->started_ms;
-  report.is_usable = shared_.registry.is_usable(shared_.now) &&
+  report.is_usable = shared_.orders.configuration() && shared_.registry.is_usable(shared_.now) &&
                      !shared_.orders.is_withdrawn(shared_.settings.domain);
   report.limit = queue_.limit();
   report.in_flight = queue_.in_flight();
@@ -357,9 +359,13 @@
     const service_policy* policy = shared_.orders.configuration()->find_service(known->service);
     report.cold_rate = policy == nullptr ? 0 : policy->cold_rate;
   }
-  const rollout_conductor::rollout* rollout = rollouts_.find(known->service);
+}
+
+std::optional<protocol::evidence_report> upstream_gate::rollout_evidence() {
+  const std::optional<known_upstream>& known = shared_.registry.known();
+  const rollout_conductor::rollout* rollout = known ? rollouts_.find(known->service) : nullptr;
   if (rollout == nullptr || rollout->phase != rollout_phase::running) {
-    return;
+    return std::nullopt;
   }
   if (evidence_id_ != rollout->id) {
     evidence_id_ = rollout->id;
@@ -371,7 +377,7 @@
   evidence.cells = evidence_.cells();
   evidence.limit = queue_.limit();
   evidence.mean_in_flight = mean_in_flight_;
-  report.evidence.push_back(std::move(evidence));
+  return evidence;
 }
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -39,6 +39,8 @@
   bool is_idle() const { return runs_.empty(); }
   // Fills in what concerns the upstream.
   void describe(peer_report& report);
+  // The evidence of the running rollout of the own service; nothing if none runs.
+  std::optional<protocol::evidence_report> rollout_evidence();
 
 private:
   struct run {
--- a/src/arbutuslb/core/gateway/upstream_registry.h
+++ b/src/arbutuslb/core/gateway/upstream_registry.h
@@ -28,9 +28,9 @@
 
 enum class heartbeat_verdict : std::uint8_t {
   accepted,
-  stale,            // of an earlier incarnation, or an earlier sequence
-  already_leaving,  // says ready after it said that it leaves
-  foreign,          // of another address
+  stale,           // of an earlier incarnation, or an earlier sequence
+  already_leaving, // says ready after it said that it leaves
+  foreign,         // of another address
 };
 const char* to_string(heartbeat_verdict value);
 
--- a/src/arbutuslb/platform/orders.cc
+++ b/src/arbutuslb/platform/orders.cc
@@ -68,7 +68,8 @@
   route.path_prefix = reader.required_string("pathPrefix");
   if (!route.path_prefix.empty() &&
       (route.path_prefix.front() != '/' || route.path_prefix.back() != '/')) {
-    findings.add(reader.place_of("pathPrefix"), "expected a path that begins and ends with a slash");
+    findings.add(reader.place_of("pathPrefix"),
+                 "expected a path that begins and ends with a slash");
   }
   route.is_idempotent = reader.required_choice("kind", {"unsafe", "safe", "keyed"}) == "safe";
   route.timeout = reader.required_duration("timeout");
@@ -178,7 +179,8 @@
   return configuration;
 }
 
-gateway::operator_record decode_order(std::uint64_t offset, std::string key, std::string value) {
+gateway::operator_record decode_order(std::uint64_t offset, std::string key,
+                                      const std::string& value) {
   gateway::operator_record record;
   record.offset = offset;
   try {
@@ -187,7 +189,6 @@
     record.value = gateway::unreadable_order{error.what()};
   }
   record.key = std::move(key);
-  record.raw = std::move(value);
   return record;
 }
 
--- a/src/arbutuslb/platform/orders.h
+++ b/src/arbutuslb/platform/orders.h
@@ -16,7 +16,7 @@
 // Decodes one record; an empty `value` means that the order was taken back. A record that cannot be
 // read becomes an `unreadable_order` with its findings.
 core::gateway::operator_record decode_order(std::uint64_t offset, std::string key,
-                                            std::string value);
+                                            const std::string& value);
 
 // Decodes the configuration. Throws `core::findings_error` with every finding and its place.
 core::gateway::mesh_configuration decode_configuration(std::string_view text);
--- a/src/arbutuslb/platform/requests.cc
+++ b/src/arbutuslb/platform/requests.cc
@@ -62,8 +62,8 @@
   core::http_request message = request.content.message;
   message.headers.emplace_back("Host", request.content.host);
   message.headers.emplace_back(attempt_field, request.content.attempt_id);
-  message.headers.emplace_back(
-      time_left_field, std::to_string(std::max<std::int64_t>(1, core::to_milliseconds(request.time_left))));
+  message.headers.emplace_back(time_left_field, std::to_string(std::max<std::int64_t>(
+                                                    1, core::to_milliseconds(request.time_left))));
   message.headers.emplace_back(instance_field, request.instance_id);
   message.headers.emplace_back(caller_field, request.caller_service);
   return message;
--- a/src/arbutuslb/platform/store_client.cc
+++ b/src/arbutuslb/platform/store_client.cc
@@ -145,8 +145,8 @@
   read_page(topic, "", {}, std::move(on_end));
 }
 
-void store_client::read_page(const std::string& topic, const std::string& after,
-                             read_result so_far, std::function<void(read_result)> on_end) {
+void store_client::read_page(const std::string& topic, const std::string& after, read_result so_far,
+                             std::function<void(read_result)> on_end) {
   core::http_request request;
   request.method = "GET";
   request.target = "/log-newest?topic=" + topic + "&part=0";
@@ -168,8 +168,8 @@
     std::string last;
     for (const json& item : page["items"]) {
       last = item.value("key", "");
-      so_far.records.push_back({item.value("offset", std::uint64_t{0}), last,
-                                decode_base64(item.value("value", ""))});
+      so_far.records.push_back(
+          {item.value("offset", std::uint64_t{0}), last, decode_base64(item.value("value", ""))});
     }
     // Records written between two pages are read again from the first page's end.
     if (so_far.end_offset == 0) {
--- a/src/arbutuslb/platform/store_client.h
+++ b/src/arbutuslb/platform/store_client.h
@@ -53,8 +53,7 @@
   void cancel(std::uint64_t call) { connections_.cancel(call); }
   // Appends one record; if `expected_end` is given, only if the log ends there.
   void append(const std::string& topic, const std::string& key, const std::string& value,
-              std::optional<std::uint64_t> expected_end,
-              std::function<void(append_result)> on_end);
+              std::optional<std::uint64_t> expected_end, std::function<void(append_result)> on_end);
 
   std::uint64_t calls() const noexcept { return calls_; }
 
--- /dev/null
+++ b/src/arbutuslb/runtime/compression.h
@@ -0,0 +1,14 @@
+// Compresses what daemons pass on to each other, by zlib.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace arbutuslb::runtime {
+
+std::string compress(std::string_view bytes);
+
+// Throws `std::runtime_error` if the bytes are malformed or would grow beyond `max_bytes`.
+std::string decompress(std::string_view bytes, std::size_t max_bytes);
+
+} // namespace arbutuslb::runtime
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -6,6 +6,7 @@
 #include "arbutuslb/platform/orders.h"
 #include "arbutuslb/platform/requests.h"
 #include "arbutuslb/runtime/clock.h"
+#include "arbutuslb/runtime/compression.h"
 #include "arbutuslb/runtime/gateway_metrics.h"
 #include "arbutuslb/runtime/http/server.h"
 #include "arbutuslb/runtime/log_writer.h"
@@ -48,6 +49,8 @@
 // Callers are sent elsewhere by then; a request taken later might not end before the process.
 constexpr std::chrono::milliseconds stop_reading_after{2200};
 constexpr std::size_t max_datagram_size = 65507;
+// The store takes no larger record.
+constexpr std::size_t max_order_size = std::size_t{16} * 1024 * 1024;
 
 std::uint64_t random_seed() {
   std::random_device device;
@@ -78,6 +81,7 @@
               write_event(is_in_contact ? core::engine::severity::info
                                         : core::engine::severity::warning,
                           is_in_contact ? "store_regained" : "store_lost", {{"reason", reason}});
+              handle(gateway::store_contact_changed{is_in_contact});
             }),
         callers(loop, values.callers,
                 {[this](std::uint64_t token, core::http_request request) {
@@ -131,8 +135,7 @@
       host.callers.respond(action.token, action.answer);
     }
     void operator()(const gateway::answer_peer& action) const {
-      host.peers.respond(action.token,
-                         plain_response(status_ok, wire::encode(action.result)));
+      host.peers.respond(action.token, plain_response(status_ok, wire::encode(action.result)));
     }
     void operator()(const gateway::send_to_peer& action) const { host.send_to_peer(action); }
     void operator()(const gateway::send_to_upstream& action) const {
@@ -140,12 +143,14 @@
     }
     void operator()(const gateway::cancel_sending& action) const { host.cancel(action.sending); }
     void operator()(const gateway::acknowledge_heartbeat& action) const {
-      host.upstreams.respond(action.token,
-                             action.is_accepted
-                                 ? plain_response(status_ok, "{}")
-                                 : plain_response(status_bad_request, action.reason));
+      host.upstreams.respond(action.token, action.is_accepted
+                                               ? plain_response(status_ok, "{}")
+                                               : plain_response(status_bad_request, action.reason));
+    }
+    void operator()(const gateway::send_reports& action) const { host.send_reports(action); }
+    void operator()(const gateway::follow_orders& action) const {
+      host.follower.set_following(action.is_wanted);
     }
-    void operator()(const gateway::send_report& action) const { host.send_report(action); }
     void operator()(const gateway::fetch_orders& action) const { host.fetch_orders(action); }
     void operator()(const gateway::find_peers&) const { host.find_peers(); }
     void operator()(const gateway::read_outcomes&) const { host.read_outcomes(); }
@@ -174,11 +179,11 @@
                                                     : core::duration{unsafe_max_idle};
     const std::uint64_t sending = action.sending;
     const tcp::endpoint address(asio::ip::make_address_v4(action.host), settings.peers.port());
-    const std::uint64_t exchange = peer_client.send(
-        address, request, std::move(options), [this, sending](const http::exchange_end& end) {
-          exchanges.erase(sending);
-          handle(decode_peer_answer(sending, end));
-        });
+    const std::uint64_t exchange = peer_client.send(address, request, std::move(options),
+                                                    [this, sending](const http::exchange_end& end) {
+                                                      exchanges.erase(sending);
+                                                      handle(decode_peer_answer(sending, end));
+                                                    });
     exchanges[sending] = {&peer_client, exchange};
   }
 
@@ -289,7 +294,7 @@
 
   void on_readiness(std::uint64_t token, const core::http_request& request) {
     const bool is_asked = request.target == readiness_path;
-    const int status = !is_asked           ? status_not_found
+    const int status = !is_asked         ? status_not_found
                        : core.is_ready() ? status_ok
                                          : status_unavailable;
     readiness.respond(token, plain_response(status));
@@ -301,9 +306,18 @@
     gateway::orders_received orders;
     orders.end_offset = read.end_offset;
     orders.is_whole = is_whole;
+    std::map<std::string, std::uint64_t> newest; // by key
+    for (const platform::store_record& record : read.records) {
+      newest[record.key] = record.offset;
+    }
     for (platform::store_record& record : read.records) {
-      orders.records.push_back(platform::decode_order(record.offset, std::move(record.key),
-                                                      std::move(record.value)));
+      if (newest[record.key] != record.offset) {
+        continue; // only the newest of a key counts, and large ones take time to decode
+      }
+      std::string compressed = record.value.empty() ? "" : compress(record.value);
+      orders.records.push_back(
+          platform::decode_order(record.offset, std::move(record.key), record.value));
+      orders.records.back().raw = std::move(compressed);
     }
     apply_orders(std::move(orders));
   }
@@ -359,10 +373,12 @@
       wire::orders_reply reply = wire::decode_orders_reply(bytes);
       orders.end_offset = reply.end_offset;
       for (wire::stored_order& order : reply.orders) {
-        orders.records.push_back(platform::decode_order(order.offset, std::move(order.key),
-                                                        std::move(order.value)));
+        const std::string value =
+            order.value.empty() ? "" : decompress(order.value, max_order_size);
+        orders.records.push_back(platform::decode_order(order.offset, std::move(order.key), value));
+        orders.records.back().raw = std::move(order.value);
       }
-    } catch (const wire::codec_error& error) {
+    } catch (const std::runtime_error& error) {
       write_event(core::engine::severity::warning, "peer_message_malformed",
                   {{"reason", error.what()}});
       return;
@@ -431,8 +447,8 @@
 
   // --- reports ---
 
-  void send_report(const gateway::send_report& action) {
-    const std::string bytes = wire::encode(action.content);
+  void send_reports(const gateway::send_reports& action) {
+    const std::string bytes = wire::encode(action.reports);
     const udp::endpoint to(asio::ip::make_address_v4(action.host), settings.report_port);
     std::error_code ignored; // reports may be lost; the next one replaces this one
     reports.send_to(asio::buffer(bytes), to, 0, ignored);
@@ -458,8 +474,9 @@
         return;
       }
       try {
-        handle(gateway::report_received{wire::decode_report(
-            std::string_view(datagram.data(), size), from.address().to_string())});
+        const std::string host = from.address().to_string();
+        handle(gateway::reports_received{
+            host, wire::decode_reports(std::string_view(datagram.data(), size), host)});
       } catch (const wire::codec_error& problem) {
         write_event(core::engine::severity::warning, "peer_message_malformed",
                     {{"reason", problem.what()}});
--- a/src/arbutuslb/runtime/gateway_settings.cc
+++ b/src/arbutuslb/runtime/gateway_settings.cc
@@ -3,6 +3,8 @@
 #include "arbutuslb/core/base/object_reader.h"
 #include "arbutuslb/runtime/http/client.h"
 
+#include <algorithm>
+
 namespace arbutuslb::runtime {
 namespace {
 
@@ -12,6 +14,11 @@
 constexpr int max_port = 65535;
 constexpr double max_retry_ratio = 10.0;
 constexpr double max_retry_extra = 1e6;
+// The smallest instances that are known, against which strength is counted.
+constexpr double weakest_cores = 0.1;
+constexpr double weakest_link = 10.0; // Mbit/s
+constexpr double max_cores = 1e4;
+constexpr double max_link = 1e9;
 
 asio::ip::tcp::endpoint read_address(object_reader& reader, std::string_view key,
                                      finding_list& findings) {
@@ -64,8 +71,13 @@
   settings.core.retry_extra =
       retry_reader.optional_number("extra", settings.core.retry_extra, 0.0, max_retry_extra);
   retry_reader.finish();
-  settings.core.grace_period =
-      reader.optional_duration("grace_period", settings.core.grace_period);
+  const object_reader::element machine = reader.optional_object("instance_limits");
+  object_reader machine_reader(*machine.value, machine.place, findings);
+  const double cores = machine_reader.optional_number("cores", weakest_cores, 0.0, max_cores);
+  const double link = machine_reader.optional_number("link_mbps", weakest_link, 0.0, max_link);
+  machine_reader.finish();
+  settings.core.strength = static_cast<int>(std::min(cores / weakest_cores, link / weakest_link));
+  settings.core.grace_period = reader.optional_duration("grace_period", settings.core.grace_period);
   reader.finish();
   settings.core.host = settings.peers.address().to_string();
   findings.throw_if_any();
--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -137,18 +137,17 @@
       return;
     }
     is_waiting_ = true;
-    socket_.async_wait(tcp::socket::wait_read,
-                       [self = shared_from_this()](std::error_code error) {
-                         self->is_waiting_ = false;
-                         if (self->is_closed_) {
-                           return;
-                         }
-                         if (error) {
-                           self->end_of_connection(false);
-                         } else {
-                           self->read();
-                         }
-                       });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
+      self->is_waiting_ = false;
+      if (self->is_closed_) {
+        return;
+      }
+      if (error) {
+        self->end_of_connection(false);
+      } else {
+        self->read();
+      }
+    });
   }
 
   void read() {
@@ -203,8 +202,8 @@
       }
       return;
     }
-    const bool is_reusable = keeps && is_last && !is_writing_ && !is_closed_ &&
-                             kept_time_ > core::duration::zero();
+    const bool is_reusable =
+        keeps && is_last && !is_writing_ && !is_closed_ && kept_time_ > core::duration::zero();
     if (is_reusable) {
       keep();
     } else {
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -12,13 +12,13 @@
 constexpr int status_not_modified = 304;
 
 constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection", "Keep-Alive",        "Transfer-Encoding", "Content-Length",  "TE",
+    "Connection", "Keep-Alive",       "Transfer-Encoding", "Content-Length",    "TE",
     "Trailer",    "Proxy-Connection", "Upgrade",           "Proxy-Authenticate"};
 
 bool is_token(std::string_view text) {
   const auto is_token_character = [](unsigned char c) {
-    return std::isalnum(c) != 0 || std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) !=
-                                       std::string_view::npos;
+    return std::isalnum(c) != 0 ||
+           std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) != std::string_view::npos;
   };
   return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
 }
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -143,15 +143,14 @@
       return;
     }
     is_waiting_ = true;
-    socket_.async_wait(tcp::socket::wait_read,
-                       [self = shared_from_this()](std::error_code error) {
-                         self->is_waiting_ = false;
-                         if (error) {
-                           self->close();
-                         } else {
-                           self->read();
-                         }
-                       });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
+      self->is_waiting_ = false;
+      if (error) {
+        self->close();
+      } else {
+        self->read();
+      }
+    });
   }
 
   void read() {
--- a/src/arbutuslb/runtime/order_follower.cc
+++ b/src/arbutuslb/runtime/order_follower.cc
@@ -25,6 +25,17 @@
   read_newest();
 }
 
+void order_follower::set_following(bool is_wanted) {
+  is_following_ = is_wanted;
+  if (is_wanted && !is_busy_ && !is_stopped_) {
+    has_all_ ? read_on() : read_newest();
+  }
+  if (!is_wanted && pending_ != 0) {
+    store_.cancel(std::exchange(pending_, 0));
+    is_busy_ = false;
+  }
+}
+
 void order_follower::stop() {
   is_stopped_ = true;
   timer_.cancel();
@@ -33,6 +44,7 @@
 
 void order_follower::skip_to(std::uint64_t end_offset) {
   next_offset_ = std::max(next_offset_, end_offset);
+  has_all_ = true;
 }
 
 void order_follower::restart() {
@@ -44,12 +56,17 @@
 }
 
 void order_follower::read_newest() {
-  store_.read_newest(platform::orders_topic, [this](platform::read_result result) {
-    on_end(std::move(result), true);
-  });
+  is_busy_ = true;
+  store_.read_newest(platform::orders_topic,
+                     [this](platform::read_result result) { on_end(std::move(result), true); });
 }
 
 void order_follower::read_on() {
+  if (!is_following_) {
+    is_busy_ = false;
+    return;
+  }
+  is_busy_ = true;
   pending_ = store_.read_from(platform::orders_topic, next_offset_, long_read,
                               [this](platform::read_result result) {
                                 pending_ = 0;
--- a/src/arbutuslb/runtime/order_follower.h
+++ b/src/arbutuslb/runtime/order_follower.h
@@ -19,7 +19,10 @@
   order_follower(asio::io_context& loop, platform::store_client& store, std::uint64_t seed,
                  records_handler on_records, contact_handler on_contact);
 
+  // Reads the newest records once.
   void start();
+  // Whether to read on as the log grows. The newest records are read in any case.
+  void set_following(bool is_wanted);
   // Records up to here are held already, from elsewhere; what is read starts behind them.
   void skip_to(std::uint64_t end_offset);
   // The log is known to be longer than what was read: the pending read may be on a dead connection.
@@ -41,6 +44,8 @@
   std::uint64_t pending_ = 0; // the long read, for `restart`
   std::uint64_t next_offset_ = 0;
   int failures_ = 0;
+  bool is_following_ = false;
+  bool is_busy_ = false; // a read or a pause before one is under way
   bool has_all_ = false;
   bool is_in_contact_ = true;
   bool is_stopped_ = false;
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -114,9 +114,16 @@
   return value;
 }
 
-std::string encode(const gateway::peer_report& value) {
-  GatewayReport out;
-  out.set_protocol(protocol_version);
+namespace {
+
+void put(const gateway::aged_report& from, GatewayReport& out) {
+  const gateway::peer_report& value = from.content;
+  out.set_age(from.age.count());
+  if (from.age > core::duration::zero()) {
+    out.set_host(value.host);
+  }
+  out.set_strength(static_cast<std::uint32_t>(value.strength));
+  out.set_has_store(value.has_store);
   out.set_name(value.name);
   out.set_domain(value.domain);
   out.set_boot(value.boot);
@@ -147,18 +154,15 @@
     each.set_phase(static_cast<std::uint32_t>(item.phase));
   }
   for (const core::protocol::evidence_report& item : value.evidence) {
-    put(item, *out.add_evidence());
+    wire::put(item, *out.add_evidence());
   }
-  return out.SerializeAsString();
 }
 
-gateway::peer_report decode_report(std::string_view bytes, const std::string& host) {
-  const GatewayReport in = parse<GatewayReport>(bytes);
-  if (in.protocol() != protocol_version) {
-    throw codec_error("another version of the protocol");
-  }
+gateway::peer_report take_report(const GatewayReport& in, const std::string& host) {
   gateway::peer_report value;
-  value.host = host;
+  value.host = in.host().empty() ? host : in.host();
+  value.strength = static_cast<int>(in.strength());
+  value.has_store = in.has_store();
   value.name = in.name();
   value.domain = in.domain();
   value.boot = in.boot();
@@ -193,6 +197,29 @@
   return value;
 }
 
+} // namespace
+
+std::string encode(const std::vector<gateway::aged_report>& reports) {
+  ReportBundle out;
+  out.set_protocol(protocol_version);
+  for (const gateway::aged_report& item : reports) {
+    put(item, *out.add_reports());
+  }
+  return out.SerializeAsString();
+}
+
+std::vector<gateway::aged_report> decode_reports(std::string_view bytes, const std::string& host) {
+  const ReportBundle in = parse<ReportBundle>(bytes);
+  if (in.protocol() != protocol_version) {
+    throw codec_error("another version of the protocol");
+  }
+  std::vector<gateway::aged_report> reports;
+  for (const GatewayReport& item : in.reports()) {
+    reports.push_back({take_report(item, host), core::duration{item.age()}});
+  }
+  return reports;
+}
+
 std::string encode(const orders_reply& value) {
   OrdersReply out;
   out.set_end_offset(value.end_offset);
--- a/src/arbutuslb/runtime/wire/gateway_codec.h
+++ b/src/arbutuslb/runtime/wire/gateway_codec.h
@@ -24,15 +24,16 @@
 
 std::string encode(const core::gateway::run_request& value);
 std::string encode(const core::gateway::run_result& value);
-std::string encode(const core::gateway::peer_report& value);
+std::string encode(const std::vector<core::gateway::aged_report>& reports);
 std::string encode(const orders_reply& value);
 std::string encode_orders_request(std::uint64_t from_offset);
 
 // All throw `codec_error` if the bytes are malformed or hold a value out of range.
 core::gateway::run_request decode_run_request(std::string_view bytes);
 core::gateway::run_result decode_run_result(std::string_view bytes);
-// `host`: the address that the report came from.
-core::gateway::peer_report decode_report(std::string_view bytes, const std::string& host);
+// `host`: the address that the bytes came from, which is that of a report without one.
+std::vector<core::gateway::aged_report> decode_reports(std::string_view bytes,
+                                                       const std::string& host);
 orders_reply decode_orders_reply(std::string_view bytes);
 std::uint64_t decode_orders_request(std::string_view bytes);
 
