--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -9,7 +9,7 @@
 constexpr std::chrono::milliseconds near_report_period{500};
 // Two daemons of each failure domain speak for it to the others, in one bundle of reports each.
 constexpr std::size_t speakers_per_domain = 2;
-constexpr std::chrono::milliseconds bundle_period{1600};
+constexpr std::chrono::milliseconds bundle_period{1000};
 constexpr std::size_t reports_per_datagram = 10;
 // A peer of another domain that no bundle names is asked directly.
 constexpr std::chrono::milliseconds far_silence{3000};
--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -308,7 +308,7 @@
     w.fleet.upstream(at).work = 200ms;
   }
   w.fleet.run_for(2s);
-  for (int i = 0; i < 4; ++i) {
+  for (int i = 0; i < 8; ++i) { // more than run at once
     w.fleet.call(2, "shop.example", "/orders/1", false);
   }
   w.fleet.run_for(20ms);
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -19,7 +19,7 @@
 namespace arbutuslb::core::gateway {
 
 // A peer that has not been heard for this long is used only if there is no other.
-inline constexpr std::chrono::milliseconds peer_silence_limit{2500};
+inline constexpr std::chrono::milliseconds peer_silence_limit{2000};
 // A peer that has not been heard for this long is forgotten.
 inline constexpr std::chrono::seconds peer_memory{30};
 
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -23,8 +23,12 @@
 constexpr std::chrono::milliseconds sending_silence_limit{3500};
 // The gate answers at the deadline; its answer has this long to arrive.
 constexpr std::chrono::milliseconds answer_grace{60};
-// The budget is shared by all daemons, whose traffic is uneven: each spends this part of it.
+// The budget is shared by all daemons, and the calls that a repeated run makes count as repeats at
+// the services that it calls: each daemon spends this part of its share.
 constexpr double own_budget_fraction = 0.5;
+// A request that may run again is taken back from an upstream that has had it for the route's
+// target latency and this multiple of the service's mean time.
+constexpr int patience_multiple = 4;
 
 } // namespace
 
@@ -298,12 +302,28 @@
   cancel(value);
   value.last = run_result{};
   value.last.outcome = run_outcome::unknown;
-  value.last.reason = shared_.now >= value.answer_by ? "deadline passed" : "peer is silent";
+  value.last.reason = shared_.now >= value.answer_by ? "deadline passed" : "no answer in time";
+  if (shared_.now < value.answer_by) {
+    shared_.directory.on_unreachable(value.host, shared_.now);
+  }
   value.may_have_run = true;
   ++value.upstreams_reached;
   continue_after(std::move(value));
 }
 
+bool request_router::is_overdue(const pending_call& value) const {
+  if (!value.route->is_idempotent || shared_.is_stopping ||
+      value.upstreams_reached + 1 >= value.route->max_upstreams) {
+    return false;
+  }
+  const duration mean = shared_.directory.mean_latency(value.service);
+  const duration patience =
+      std::max<duration>(value.route->target_latency, mean * patience_multiple);
+  const auto budget = budgets_.find(value.service);
+  return shared_.now - value.sent >= patience && value.answer_by - shared_.now >= 2 * mean &&
+         budget != budgets_.end() && budget->second.has_token();
+}
+
 void request_router::on_tick() {
   std::vector<std::uint64_t> ended;
   // A daemon that hears hardly anybody may itself be slow or cut off.
@@ -313,7 +333,7 @@
     const auto peer = shared_.directory.peers().find(value.host);
     const bool is_silent = peer == shared_.directory.peers().end() ||
                            shared_.now - peer->second.heard_at >= sending_silence_limit;
-    if (shared_.now >= value.answer_by + answer_grace ||
+    if (shared_.now >= value.answer_by + answer_grace || is_overdue(value) ||
         (is_silent && hears_others && value.route->is_idempotent && !shared_.is_stopping)) {
       ended.push_back(sending);
     }
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -65,6 +65,8 @@
   void send(pending_call value, const std::string& host);
   void continue_after(pending_call value);
   bool may_send_again(const pending_call& value);
+  // The upstream has had the request for so long that another is worth asking.
+  bool is_overdue(const pending_call& value) const;
   void finish(const pending_call& value);
   void finish_with(const pending_call& value, int status, const std::string& reason,
                    duration retry_after);
--- a/src/arbutuslb/core/routing/retry_budget.h
+++ b/src/arbutuslb/core/routing/retry_budget.h
@@ -14,6 +14,8 @@
   // Each call earns `fraction` of a retry.
   void on_call(double fraction) { tokens_ = std::min(max_tokens_, tokens_ + fraction); }
 
+  bool has_token() const { return tokens_ >= 1.0; }
+
   // Takes one retry; returns false if none is left.
   bool take() {
     if (tokens_ < 1.0) {
--- a/tools/lib.sh
+++ b/tools/lib.sh
@@ -8,7 +8,7 @@
 process_ids=()
 
 packages=(libasio-dev libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libboost-dev
-  libcpp-httplib-dev libgoogle-glog-dev libcriterion-dev nlohmann-json3-dev libxxhash-dev
+  libcpp-httplib-dev libgoogle-glog-dev libcriterion-dev nlohmann-json3-dev libxxhash-dev libhttp-parser-dev zlib1g-dev
   pkg-config cmake ninja-build g++ curl)
 
 # Installs the packages that are missing.
