Cold upstreams are used up to the load that the platform says they bear

Cause: after all power is lost every upstream is cold, and the gates let in the service's cold rate (12 to 18 a second) where the platform's settings say that a cold upstream bears coldLoadFactor times that. Ruled out: the slots (16 or 8 a gate, a third of them used while cold); crashes (none before or after). Change: the factor comes with the settings (upstream.cold_load_factor); a process that started within the last second keeps to the plain rate, since it does not know what its predecessor let in. The log line of a refused run names route and rank.

--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -19,6 +19,8 @@
   // and this many more, within the platform's window.
   double retry_ratio = 0.2;
   double retry_extra = 60;
+  // A cold upstream bears this multiple of its service's cold rate.
+  double cold_load_factor = 1.0;
   int strength = 1; // what the instance can carry, against the weakest; for duties
   // A planned stop is complete within this time.
   duration grace_period = std::chrono::seconds{6};
@@ -43,7 +45,7 @@
 struct gateway_context {
   gateway_context(gateway_settings own, std::uint64_t seed, time_point start)
       : settings(std::move(own)), directory(settings.domain, settings.host),
-        registry(settings.upstream_address), random(seed), now(start),
+        registry(settings.upstream_address), random(seed), started(start), now(start),
         boot(static_cast<std::uint64_t>(start.time_since_epoch().count())) {}
 
   void act(action value) { actions.push_back(std::move(value)); }
@@ -58,6 +60,7 @@
   peer_directory directory;
   upstream_registry registry;
   random_source random;
+  const time_point started; // of this process
   time_point now;
   std::uint64_t boot;
   std::uint64_t last_number = 0;
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -109,12 +109,21 @@
     return;
   }
   queue_.set_limit(known->slots);
-  double rate = 0;
-  if (shared_.registry.is_cold(shared_.now) && shared_.orders.configuration()) {
-    const service_policy* policy = shared_.orders.configuration()->find_service(known->service);
-    rate = policy == nullptr ? 0 : policy->cold_rate;
+  queue_.set_rate(cold_rate());
+}
+
+double upstream_gate::cold_rate() const {
+  const std::optional<known_upstream>& known = shared_.registry.known();
+  if (!known || !shared_.registry.is_cold(shared_.now) || !shared_.orders.configuration()) {
+    return 0;
   }
-  queue_.set_rate(rate);
+  const service_policy* policy = shared_.orders.configuration()->find_service(known->service);
+  if (policy == nullptr) {
+    return 0;
+  }
+  // A fresh process does not know what its predecessor let in during the last second.
+  const bool knows_window = shared_.now - shared_.started >= cold_rate_window;
+  return policy->cold_rate * (knows_window ? shared_.settings.cold_load_factor : 1.0);
 }
 
 void upstream_gate::start(std::uint64_t token) {
@@ -206,6 +215,8 @@
   result.retry_after = std::max<duration>(retry_after, min_retry_after);
   shared_.write(engine::severity::info, "run_refused",
                 {{"id", refused.request.content.attempt_id},
+                 {"route", refused.request.route},
+                 {"rank", std::to_string(refused.request.rank)},
                  {"reason", reason},
                  {"in_flight", std::to_string(queue_.in_flight())},
                  {"waiting", std::to_string(queue_.waiting())},
@@ -355,10 +366,7 @@
     report.routes.push_back({static_cast<std::uint32_t>(hash_bytes(route)),
                              duration{static_cast<duration::rep>(mean)}});
   }
-  if (shared_.registry.is_cold(shared_.now) && shared_.orders.configuration()) {
-    const service_policy* policy = shared_.orders.configuration()->find_service(known->service);
-    report.cold_rate = policy == nullptr ? 0 : policy->cold_rate;
-  }
+  report.cold_rate = cold_rate();
 }
 
 std::optional<protocol::evidence_report> upstream_gate::rollout_evidence() {
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -64,6 +64,8 @@
   void abandon(bool is_local, std::uint64_t reply_token);
   void note_end(const run& ended, const sending_ended& end);
   void update_limits();
+  // Requests a second that the upstream bears while it is cold; zero if it is not cold.
+  double cold_rate() const;
   duration route_mean(const std::string& route) const;
 
   gateway_context& shared_;
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -160,6 +160,7 @@
   fresh.settings.host = "10.0.0." + std::to_string(at + 1);
   fresh.settings.domain = domain;
   fresh.settings.service = service;
+  fresh.settings.cold_load_factor = cold_load_factor;
   fresh.settings.upstream_address = fresh.settings.host + ":80";
   running_now.push_back(0);
   most_running.push_back(0);
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -64,6 +64,7 @@
   std::map<std::string, core::gateway::rollout_phase> outcomes; // by service
   std::set<std::pair<std::size_t, std::size_t>> cuts; // pairs that cannot reach each other
   bool is_store_down = false;
+  double cold_load_factor = 1.0; // of daemons added later
   std::vector<core::engine::write_event> log;
   std::uint64_t datagrams_between_domains = 0;
 
