Refusals by rank, and slow is not unreachable

Each refusal by a gate closed it for 20 ms for all ranks, so calls of upstreams (rank 0) were refused unsent because less urgent requests had been refused, and their parents failed with 500. A safe request that took longer than its patience was taken back even if nobody else could serve it, and its gate was left out for 300 to 2,400 ms as if it were unreachable. Ruled out: missing configurations (39), unreachable peers (211). Change: a refusal closes a gate only for requests that are no more urgent; the first offer of a request may go to a gate that refused lately; a request is taken back only if another upstream can take it; a peer heard since the request was sent is not held to be unreachable. Tests: peer_directory/a_refusal_closes_a_gate_only_for_what_is_no_more_urgent, gateway/a_slow_upstream_without_an_alternative_keeps_its_request and gateway/a_cold_upstream_is_used_up_to_what_it_bears, the last two seen to fail without the change.

--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -2,6 +2,7 @@
 
 #include "arbutuslb/fakes/gateway_fleet.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 namespace {
@@ -175,6 +176,44 @@
   }
 }
 
+// After all power is lost every upstream is cold, and what they bear together is all there is.
+Test(gateway, a_cold_upstream_is_used_up_to_what_it_bears) {
+  gateway_fleet fleet(1);
+  fleet.cold_load_factor = 1.5;
+  fleet.add("a", "menu");
+  fleet.upstream(0).cold_for = 60s;
+  fleet.publish(configuration(1));
+  fleet.run_for(4s);
+  const arbutuslb::core::time_point began = fleet.now();
+  for (int i = 0; i < 200; ++i) {
+    fleet.call(0, "shop.example", "/menu/1");
+    fleet.run_for(20ms);
+  }
+  const auto& starts = fleet.starts[0];
+  const auto first = std::lower_bound(starts.begin(), starts.end(), began);
+  cr_assert(starts.end() - first >= 4 * 15 - 2, "%d starts",
+            static_cast<int>(starts.end() - first));
+  for (auto start = first; starts.end() - start > 15; ++start) {
+    cr_assert(static_cast<int>((start[15] - *start) / 1ms) >= 1000);
+  }
+}
+
+// Seen on the bench: daemons took back requests that nobody else could serve, and held the upstream
+// that was working on them to be unreachable.
+Test(gateway, a_slow_upstream_without_an_alternative_keeps_its_request) {
+  gateway_fleet fleet(1);
+  fleet.add("a", "menu");
+  fleet.upstream(0).work = 600ms;
+  fleet.publish(configuration(1));
+  fleet.run_for(4s);
+  const std::uint64_t first = fleet.call(0, "shop.example", "/menu/1");
+  fleet.run_for(400ms);
+  const std::uint64_t second = fleet.call(0, "shop.example", "/menu/1");
+  fleet.run_for(900ms);
+  cr_assert(fleet.answers[first].status == status_ok);
+  cr_assert(fleet.answers[second].status == status_ok);
+}
+
 // Seen on the bench: a daemon that was restarted while the store was down held no configuration,
 // took its cold upstream's rate for unlimited, and gave it 31 requests in a second.
 Test(gateway, a_gate_without_a_configuration_lets_nothing_in) {
--- a/src/arbutuslb/core/gateway/parts_test.cc
+++ b/src/arbutuslb/core/gateway/parts_test.cc
@@ -1,6 +1,7 @@
 // The parts of the data path on their own.
 
 #include "arbutuslb/core/gateway/mesh_configuration.h"
+#include "arbutuslb/core/gateway/peer_directory.h"
 #include "arbutuslb/core/gateway/run_queue.h"
 #include "arbutuslb/core/gateway/upstream_registry.h"
 
@@ -26,8 +27,47 @@
   return value;
 }
 
+peer_report report_of(const std::string& host) {
+  peer_report report;
+  report.name = host;
+  report.host = host;
+  report.domain = "a";
+  report.boot = 1;
+  report.sequence = 1;
+  report.service = "menu";
+  report.instance_id = "i-" + host;
+  report.is_usable = true;
+  report.limit = 4;
+  return report;
+}
+
+upstream_query query_of(int rank) {
+  upstream_query query;
+  query.service = "menu";
+  query.target_latency = 300ms;
+  query.rank = rank;
+  query.allows_version = [](const std::string&) { return true; };
+  return query;
+}
+
 } // namespace
 
+// Seen on the bench: in a burst the calls of upstreams, the most urgent of all, were refused
+// without being sent, because less urgent requests had just been refused by every gate.
+Test(peer_directory, a_refusal_closes_a_gate_only_for_what_is_no_more_urgent) {
+  peer_directory directory("a", "10.0.0.9");
+  directory.merge(report_of("10.0.0.1"), start);
+  arbutuslb::core::random_source random(1);
+  directory.on_refused("10.0.0.1", 1, start + 20ms, start);
+  cr_assert(directory.choose(query_of(0), {}, start, random).has_value());
+  cr_assert_not((directory.choose(query_of(1), {}, start, random).has_value()));
+  cr_assert_not((directory.choose(query_of(2), {}, start, random).has_value()));
+  upstream_query first_offer = query_of(2);
+  first_offer.allows_refused = true;
+  cr_assert(directory.choose(first_offer, {}, start, random).has_value());
+  cr_assert(directory.choose(query_of(2), {}, start + 20ms, random).has_value());
+}
+
 Test(mesh_configuration, the_longest_prefix_wins) {
   mesh_configuration configuration;
   for (const char* prefix : {"/", "/a/", "/a/b/"}) {
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -40,6 +40,7 @@
       before.is_stopping != report.is_stopping || (before.cold_rate > 0) != (report.cold_rate > 0);
   if (is_changed) {
     known.closed_until = {};
+    known.refused_until = {};
     known.failures_in_row = 0;
   }
   known.report = report;
@@ -106,6 +107,10 @@
         std::find(query.tried.begin(), query.tried.end(), host) != query.tried.end()) {
       continue;
     }
+    if (!query.allows_refused && now < candidate.refused_until &&
+        query.rank >= candidate.refused_rank) {
+      continue;
+    }
     const double risk = risk_of(candidate, query, now) + equal_risk * random.fraction();
     if (!best || risk < best_risk) {
       best = host;
@@ -159,11 +164,20 @@
   }
 }
 
-void peer_directory::on_refused(const std::string& host, time_point until) {
+void peer_directory::on_refused(const std::string& host, int rank, time_point until,
+                                time_point now) {
   const auto found = peers_.find(host);
-  if (found != peers_.end()) {
-    found->second.closed_until = std::max(found->second.closed_until, until);
+  if (found == peers_.end()) {
+    return;
   }
+  peer& value = found->second;
+  value.refused_rank = now < value.refused_until ? std::min(value.refused_rank, rank) : rank;
+  value.refused_until = std::max(value.refused_until, until);
+}
+
+bool peer_directory::is_heard_since(const std::string& host, time_point since) const {
+  const auto found = peers_.find(host);
+  return found != peers_.end() && found->second.heard_at >= since;
 }
 
 duration peer_directory::mean_latency(std::string_view service) const {
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -30,7 +30,10 @@
   // True if the version may run the request.
   std::function<bool(const std::string& version)> allows_version;
   std::span<const std::string> tried; // hosts that have refused or failed the request
+  int rank = 0;                       // 0 is the most urgent
   bool allows_silent = true;
+  // True if a peer that lately had no room for a request as urgent may be asked again.
+  bool allows_refused = false;
 };
 
 class peer_directory {
@@ -58,8 +61,11 @@
   // The peer could not be reached; it is left out for a short while.
   void on_unreachable(const std::string& host, time_point now);
   void on_reachable(const std::string& host);
-  // The peer refused for lack of room; it is left out for `pause`.
-  void on_refused(const std::string& host, time_point until);
+  // The peer had no room for a request of this rank; requests that are no more urgent are not sent
+  // there before `until`.
+  void on_refused(const std::string& host, int rank, time_point until, time_point now);
+  // True if the peer has been heard since `since`, by a report or an answer.
+  bool is_heard_since(const std::string& host, time_point since) const;
 
   // Mean time that the usable upstreams of a service take for a request; zero if unknown.
   duration mean_latency(std::string_view service) const;
@@ -85,6 +91,8 @@
     peer_report report;
     time_point heard_at{};
     time_point closed_until{};
+    time_point refused_until{};
+    int refused_rank = 0;         // the most urgent that was refused
     int own_requests = 0;         // sent by this daemon and not ended
     int own_requests_counted = 0; // of them, those that `report` already counts
     int failures_in_row = 0;
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -69,15 +69,23 @@
   dispatch(std::move(fresh));
 }
 
-std::optional<std::string> request_router::choose_host(pending_call& value) {
+upstream_query request_router::query_for(const pending_call& value) const {
   upstream_query query;
   query.service = value.service;
   query.route_hash = static_cast<std::uint32_t>(hash_bytes(value.route->name));
   query.target_latency = value.route->target_latency;
   query.tried = value.tried;
-  query.allows_version = [&](const std::string& version) {
+  query.rank = value.route->rank;
+  // Nothing is refused before a gate was asked: room comes back within milliseconds.
+  query.allows_refused = value.offers == 0;
+  query.allows_version = [this, &value](const std::string& version) {
     return rollouts_.allows(value.service, version, value.wants_new_version);
   };
+  return query;
+}
+
+std::optional<std::string> request_router::choose_host(pending_call& value) {
+  const upstream_query query = query_for(value);
   std::optional<std::string> host = shared_.directory.choose(
       query, shared_.orders.withdrawn_domains(), shared_.now, shared_.random);
   const rollout_conductor::rollout* rollout = rollouts_.find(value.service);
@@ -93,6 +101,14 @@
   return host;
 }
 
+bool request_router::has_alternative(const pending_call& value) {
+  upstream_query query = query_for(value);
+  query.allows_silent = false;
+  return shared_.directory
+      .choose(query, shared_.orders.withdrawn_domains(), shared_.now, shared_.random)
+      .has_value();
+}
+
 void request_router::dispatch(pending_call value) {
   const std::optional<std::string> host = choose_host(value);
   if (!host) {
@@ -154,7 +170,8 @@
     shared_.directory.on_load(value.host, end.result.in_flight, end.result.waiting, shared_.now);
   }
   if (end.result.outcome == run_outcome::not_run && !end.is_unreachable) {
-    shared_.directory.on_refused(value.host, shared_.now + refused_pause);
+    shared_.directory.on_refused(value.host, value.route->rank, shared_.now + refused_pause,
+                                 shared_.now);
   }
   value.last = end.result;
   if (end.result.reached_upstream) {
@@ -303,7 +320,8 @@
   value.last = run_result{};
   value.last.outcome = run_outcome::unknown;
   value.last.reason = shared_.now >= value.answer_by ? "deadline passed" : "no answer in time";
-  if (shared_.now < value.answer_by) {
+  // A peer that is heard is slow, not lost.
+  if (shared_.now < value.answer_by && !shared_.directory.is_heard_since(value.host, value.sent)) {
     shared_.directory.on_unreachable(value.host, shared_.now);
   }
   value.may_have_run = true;
@@ -333,7 +351,8 @@
     const auto peer = shared_.directory.peers().find(value.host);
     const bool is_silent = peer == shared_.directory.peers().end() ||
                            shared_.now - peer->second.heard_at >= sending_silence_limit;
-    if (shared_.now >= value.answer_by + answer_grace || is_overdue(value) ||
+    if (shared_.now >= value.answer_by + answer_grace ||
+        (is_overdue(value) && has_alternative(value)) ||
         (is_silent && hears_others && value.route->is_idempotent && !shared_.is_stopping)) {
       ended.push_back(sending);
     }
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -61,7 +61,11 @@
   };
 
   void dispatch(pending_call value);
+  // The query refers to `value`.
+  upstream_query query_for(const pending_call& value) const;
   std::optional<std::string> choose_host(pending_call& value);
+  // Another upstream could take the request now.
+  bool has_alternative(const pending_call& value);
   void send(pending_call value, const std::string& host);
   void continue_after(pending_call value);
   bool may_send_again(const pending_call& value);
