A planned stop answers what it read; a last answer is not taken away by a reset

Two faults of the callers' edge were found on the way: after close_after_answers the first of several answers on a connection closed it, and those behind it, whose requests had been passed on, were dropped; and the connection was closed at once after its last answer, so that a request sent behind it turned the close into a reset, which can take the answer along. Change: only the last answer of a connection closes it; the server then ends its own direction and drops what still comes for up to a second. Tests: server/a_planned_stop_answers_all_requests_that_were_read_on_a_connection and server/what_a_caller_sends_behind_the_last_answer_does_not_take_it_away, both seen to fail first.

--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -57,8 +57,9 @@
   }
 };
 
-// Reads what a socket gives until `expected` occurs or the stream ends.
-std::string read_until(server_fixture& fixture, tcp::socket& socket, const std::string& expected) {
+// Reads what a socket gives until `expected` occurs or the stream ends; `end` is how it ended.
+std::string read_until(server_fixture& fixture, tcp::socket& socket, const std::string& expected,
+                       std::error_code* end = nullptr) {
   std::string text;
   bool has_ended = false;
   socket.non_blocking(true);
@@ -68,6 +69,9 @@
     const std::size_t size = socket.read_some(asio::buffer(buffer), error);
     text.append(buffer, size);
     has_ended = error && error != asio::error::would_block;
+    if (has_ended && end != nullptr) {
+      *end = error;
+    }
     if (!has_ended && text.find(expected) == std::string::npos) {
       socket.async_wait(tcp::socket::wait_read, [](std::error_code) {});
       return false;
@@ -219,6 +223,45 @@
   cr_assert(static_cast<bool>(error));
 }
 
+// Seen on the bench: after SIGTERM the first of several answers closed the connection, and those
+// behind it, whose requests had been passed on, were dropped.
+Test(server, a_planned_stop_answers_all_requests_that_were_read_on_a_connection) {
+  server_fixture fixture;
+  tcp::socket socket(fixture.loop);
+  socket.connect(fixture.address);
+  asio::write(socket, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+                                               "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")));
+  fixture.run_until([&] { return fixture.requests.size() == 2; });
+  fixture.served.close_after_answers();
+  fixture.served.respond(fixture.requests[0].first, fixture.response("first"));
+  fixture.served.respond(fixture.requests[1].first, fixture.response("second"));
+  const std::string text = read_until(fixture, socket, "second");
+  cr_assert(text.find("second") != std::string::npos);
+  cr_assert(text.find("Connection: close") > text.find("first"));
+  cr_assert(fixture.left.empty());
+}
+
+// Seen on the bench: a request sent behind the last answer of a connection made the close a reset,
+// and the caller could not read that answer.
+Test(server, what_a_caller_sends_behind_the_last_answer_does_not_take_it_away) {
+  server_fixture fixture;
+  tcp::socket socket(fixture.loop);
+  socket.connect(fixture.address);
+  asio::write(socket, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: x\r\n"
+                                               "Connection: close\r\n\r\n")));
+  fixture.run_until([&] { return fixture.requests.size() == 1; });
+  fixture.served.respond(fixture.requests[0].first, fixture.response("last"));
+  read_until(fixture, socket, "last");
+  fixture.loop.poll();
+  asio::write(socket, asio::buffer(std::string("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")));
+  std::error_code end;
+  read_until(fixture, socket, "never", &end);
+  fixture.loop.poll();
+  asio::write(socket, asio::buffer(std::string("GET /3 HTTP/1.1\r\nHost: x\r\n\r\n")), end);
+  cr_assert_not((static_cast<bool>(end)), "the connection was reset");
+  cr_assert_eq(fixture.requests.size(), 1);
+}
+
 Test(client, what_was_sent_and_what_was_not_is_told_apart) {
   server_fixture fixture;
   client sender(fixture.loop);
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t read_buffer_size = std::size_t{32} * 1024;
 constexpr std::size_t reads_per_wake = 4;
 constexpr std::size_t reserved_tokens = 8;
+// How long a caller is given to close after its last answer; several round trips.
+constexpr std::chrono::seconds linger_time{1};
 
 // Shared by all connections: the loop has one thread, and the bytes are parsed at once.
 std::array<char, read_buffer_size> read_buffer;
@@ -60,11 +62,10 @@
 
   void start() { wait_for_bytes(); }
 
-  void respond(std::uint64_t token, const core::http_response& response, bool closes) {
+  void respond(std::uint64_t token, const core::http_response& response) {
     for (answer_slot& slot : slots_) {
       if (slot.token == token) {
         slot.is_ready = true;
-        slot.closes = slot.closes || closes;
         slot.answer = response;
         break;
       }
@@ -73,6 +74,13 @@
   }
 
   void sweep(core::time_point now, const server_options& options) {
+    if (is_lingering_) {
+      lingers_since_ = lingers_since_ == core::time_point{} ? now : lingers_since_;
+      if (now - lingers_since_ >= linger_time) {
+        close();
+      }
+      return;
+    }
     if (!has_swept_ || has_activity_) {
       has_swept_ = true;
       has_activity_ = false;
@@ -139,7 +147,7 @@
   };
 
   void wait_for_bytes() {
-    if (is_waiting_ || is_closed_ || is_refusing_) {
+    if (is_waiting_ || is_closed_ || (is_refusing_ && !is_lingering_)) {
       return;
     }
     is_waiting_ = true;
@@ -165,8 +173,8 @@
         return;
       }
       has_activity_ = true;
-      if (is_refusing_) {
-        continue; // what follows a refused request is dropped
+      if (is_refusing_ || is_lingering_) {
+        continue; // what follows the last answer is dropped
       }
       if (unread_.empty()) {
         parse(std::string_view(read_buffer.data(), size));
@@ -241,6 +249,9 @@
     const std::shared_ptr<state> owner = owner_.lock();
     while (!slots_.empty() && slots_.front().is_ready && !closes_after_write_) {
       answer_slot& slot = slots_.front();
+      // Requests that were read behind this one are answered first.
+      const bool is_last = slots_.size() == 1;
+      slot.closes = slot.closes || (is_last && owner && owner->closes_after_answers);
       output_ += to_wire(slot.answer, slot.closes);
       closes_after_write_ = slot.closes;
       if (owner) {
@@ -276,7 +287,7 @@
       return;
     }
     if (closes_after_write_) {
-      close();
+      linger();
       return;
     }
     if (!unread_.empty()) {
@@ -285,6 +296,16 @@
     wait_for_bytes();
   }
 
+  // Ends the own direction and drops what still comes until the caller has closed. A close with
+  // unread bytes would reset the connection and could take the answer with it.
+  void linger() {
+    is_lingering_ = true;
+    unread_ = {};
+    std::error_code ignored; // the caller may have closed already; the next read shows it
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    wait_for_bytes();
+  }
+
   std::weak_ptr<state> owner_;
   tcp::socket socket_;
   message_reader reader_;
@@ -296,6 +317,7 @@
   bool is_writing_ = false;
   bool is_closed_ = false;
   bool is_refusing_ = false;
+  bool is_lingering_ = false;
   bool closes_after_write_ = false;
   bool ends_after_slots_ = false;
   bool has_told_continue_ = false;
@@ -303,6 +325,7 @@
   bool has_swept_ = false;
   core::time_point quiet_since_{};
   core::time_point begun_at_{};
+  core::time_point lingers_since_{};
 };
 
 void server::state::accept() {
@@ -345,7 +368,7 @@
   const auto found = state_->by_token.find(token);
   if (found != state_->by_token.end()) {
     const std::shared_ptr<connection> target = found->second;
-    target->respond(token, response, state_->closes_after_answers);
+    target->respond(token, response);
   }
 }
 
