A gate that has measured nothing is held to be as fast as the others of its service

A daemon that had just restarted reported the assumed 50 ms, against 200 ms of the others, so every daemon chose its upstream: it got 56 of 57 previews in one second. Such a gate is out of touch for some seconds, what it runs is not counted for the split, and the rest of the split came out at 0.45 instead of 0.25. The splits themselves were exact at every daemon (0.25 each). Ruled out: the splits' phase after a change or a restart; requests sent again. Change: without a measurement of the route, an upstream is held to take the mean of those that have one; a fresh daemon beside the same upstream inherits what its predecessor measured. Test: peer_directory/a_gate_that_has_measured_nothing_is_held_to_be_as_fast_as_the_others, seen to fail.

--- a/src/arbutuslb/core/gateway/parts_test.cc
+++ b/src/arbutuslb/core/gateway/parts_test.cc
@@ -68,6 +68,32 @@
   cr_assert(directory.choose(query_of(2), {}, start + 20ms, random).has_value());
 }
 
+// Seen on the bench (haddad-engrave trouble-2 --seed 988583403121): a gate that had just started
+// was held to be the fastest of its service, because it had measured nothing, and got every
+// request.
+Test(peer_directory, a_gate_that_has_measured_nothing_is_held_to_be_as_fast_as_the_others) {
+  peer_directory directory("a", "10.0.0.9");
+  for (const char* host : {"10.0.0.1", "10.0.0.2", "10.0.0.3"}) {
+    peer_report report = report_of(host);
+    report.limit = 16;
+    if (host != std::string("10.0.0.1")) {
+      report.mean_latency = 200ms;
+      report.routes = {{7, 200ms}};
+    }
+    directory.merge(report, start);
+  }
+  arbutuslb::core::random_source random(1);
+  upstream_query query = query_of(0);
+  query.route_hash = 7;
+  int at_fresh = 0;
+  constexpr int requests = 300;
+  for (int i = 0; i < requests; ++i) {
+    at_fresh += *directory.choose(query, {}, start, random) == "10.0.0.1" ? 1 : 0;
+  }
+  cr_assert(at_fresh < requests / 2);
+  cr_assert(at_fresh > requests / 6);
+}
+
 Test(mesh_configuration, the_longest_prefix_wins) {
   mesh_configuration configuration;
   for (const char* prefix : {"/", "/a/", "/a/b/"}) {
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <tuple>
+#include <utility>
 
 namespace arbutuslb::core::gateway {
 namespace {
@@ -22,6 +23,15 @@
 constexpr std::chrono::milliseconds max_unreachable_pause{2400};
 constexpr std::chrono::milliseconds default_latency{60};
 
+std::optional<duration> route_mean(const peer_report& report, std::uint32_t route_hash) {
+  for (const route_latency& item : report.routes) {
+    if (item.route_hash == route_hash && item.mean > duration::zero()) {
+      return item.mean;
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 peer_directory::peer_directory(std::string own_domain, std::string own_host)
@@ -43,7 +53,11 @@
     known.refused_until = {};
     known.failures_in_row = 0;
   }
-  known.report = report;
+  const peer_report last = std::exchange(known.report, report);
+  if (report.routes.empty() && last.instance_id == report.instance_id) {
+    // A fresh daemon beside the same upstream: what its predecessor measured still holds.
+    known.report.routes = last.routes;
+  }
   known.heard_at = std::max(known.heard_at, now);
   known.own_requests_counted = known.own_requests;
   return {is_new, is_changed};
@@ -59,18 +73,29 @@
   return now - candidate.heard_at < peer_silence_limit;
 }
 
-double peer_directory::risk_of(const peer& candidate, const upstream_query& query,
-                               time_point now) const {
-  const peer_report& report = candidate.report;
-  duration service_time = report.mean_latency;
-  for (const route_latency& item : report.routes) {
-    if (item.route_hash == query.route_hash) {
-      service_time = item.mean;
+duration peer_directory::usual_latency(const upstream_query& query) const {
+  duration sum{};
+  int count = 0;
+  for (const auto& [host, candidate] : peers_) {
+    const std::optional<duration> mean = candidate.report.service == query.service
+                                             ? route_mean(candidate.report, query.route_hash)
+                                             : std::nullopt;
+    if (mean) {
+      sum += *mean;
+      ++count;
     }
   }
-  if (service_time <= duration::zero()) {
-    service_time = default_latency;
+  if (count > 0) {
+    return sum / count;
   }
+  const duration of_service = mean_latency(query.service);
+  return of_service > duration::zero() ? of_service : duration{default_latency};
+}
+
+double peer_directory::risk_of(const peer& candidate, const upstream_query& query, duration usual,
+                               time_point now) const {
+  const peer_report& report = candidate.report;
+  const duration service_time = route_mean(report, query.route_hash).value_or(usual);
   const int unseen = std::max(0, candidate.own_requests - candidate.own_requests_counted);
   const double limit = std::max(1, report.limit);
   const double load = report.in_flight + report.waiting + unseen;
@@ -97,6 +122,7 @@
                                                   time_point now, random_source& random) {
   std::optional<std::string> best;
   double best_risk = 0;
+  const duration usual = usual_latency(query);
   for (const auto& [host, candidate] : peers_) {
     const peer_report& report = candidate.report;
     const bool is_possible =
@@ -111,7 +137,7 @@
         query.rank >= candidate.refused_rank) {
       continue;
     }
-    const double risk = risk_of(candidate, query, now) + equal_risk * random.fraction();
+    const double risk = risk_of(candidate, query, usual, now) + equal_risk * random.fraction();
     if (!best || risk < best_risk) {
       best = host;
       best_risk = risk;
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -100,7 +100,11 @@
   const std::map<std::string, peer>& peers() const noexcept { return peers_; }
 
 private:
-  double risk_of(const peer& candidate, const upstream_query& query, time_point now) const;
+  // `usual`: the time of an upstream that has not measured its own.
+  double risk_of(const peer& candidate, const upstream_query& query, duration usual,
+                 time_point now) const;
+  // Mean time of a route at the upstreams that have measured it; else of their service.
+  duration usual_latency(const upstream_query& query) const;
   bool is_live(const peer& candidate, time_point now) const;
 
   std::string own_domain_;
