Departures outlive the process that acknowledged them

Cause: a leaving was kept in memory only. An upstream that started again under the id it had was refused for good after a goodbye. Change: the gate writes the incarnation that leaves into the store, beside the daemon's registration, before it acknowledges, or acknowledges after 700 ms without the store, with a log line; a fresh process reads it with its peers and lets nothing in until then (500 ms at most). Departures name an incarnation, not only an id. Registration and departures move out of gateway_host.cc to runtime/member_registry; the readiness path moves to platform/. The gate may also use half of the extra requests (cold_load_extra) that the platform grants a cold upstream. Tests: gateway/an_acknowledged_departure_outlives_the_process (seen to fail without restoring), gateway/a_departure_is_acknowledged_within_a_second_without_the_store, two of upstream_registry.

--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -7,6 +7,7 @@
 #include "arbutuslb/core/gateway/peer_report.h"
 #include "arbutuslb/core/gateway/upstream_registry.h"
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -67,6 +68,13 @@
 // Daemons that registered themselves in the store; the own address may be among them.
 struct peers_found {
   std::vector<std::string> hosts;
+  // The upstream beside this daemon that last left, as this daemon recorded it.
+  std::optional<upstream_incarnation> departed;
+};
+// The end of `record_departure`.
+struct departure_recorded {
+  upstream_incarnation departed;
+  bool is_recorded = false;
 };
 // What the store holds of the outcomes of rollouts.
 struct outcomes_read {
@@ -87,8 +95,8 @@
 
 using event = std::variant<tick, call_received, caller_left, run_requested, peer_left,
                            sending_ended, heartbeat_received, goodbye_received, orders_received,
-                           reports_received, store_contact_changed, peers_found, outcomes_read,
-                           outcome_recorded, stop_requested>;
+                           reports_received, store_contact_changed, peers_found, departure_recorded,
+                           outcomes_read, outcome_recorded, stop_requested>;
 
 // --- actions ---
 
@@ -136,6 +144,10 @@
 };
 // Registers this daemon in the store and reads who else is there.
 struct find_peers {};
+// Writes durably that the upstream beside this daemon leaves. Answered by one `departure_recorded`.
+struct record_departure {
+  upstream_incarnation departed;
+};
 struct read_outcomes {};
 // Writes what became of a rollout, if nothing was written since `expected_end`.
 struct record_outcome {
@@ -146,9 +158,9 @@
 };
 struct exit_process {};
 
-using action =
-    std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream, cancel_sending,
-                 acknowledge_heartbeat, send_reports, follow_orders, fetch_orders, find_peers,
-                 read_outcomes, record_outcome, engine::write_event, exit_process>;
+using action = std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream,
+                            cancel_sending, acknowledge_heartbeat, send_reports, follow_orders,
+                            fetch_orders, find_peers, record_departure, read_outcomes,
+                            record_outcome, engine::write_event, exit_process>;
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -19,8 +19,9 @@
   // and this many more, within the platform's window.
   double retry_ratio = 0.2;
   double retry_extra = 60;
-  // A cold upstream bears this multiple of its service's cold rate.
+  // A cold upstream bears this multiple of its service's cold rate, and this many requests more.
   double cold_load_factor = 1.0;
+  double cold_load_extra = 0.0;
   int strength = 1; // what the instance can carry, against the weakest; for duties
   // A planned stop is complete within this time.
   duration grace_period = std::chrono::seconds{6};
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -22,6 +22,9 @@
 constexpr std::size_t evidence_receivers = 2;
 constexpr std::chrono::milliseconds lonely_search_period{700};
 constexpr std::chrono::seconds search_period{60};
+// A fresh daemon lets nothing in before it knows which upstream an earlier process saw leave, or,
+// without the store, before this time has passed.
+constexpr std::chrono::milliseconds departure_read_patience{500};
 // Two daemons of each failure domain read the operators' log; the others fetch from their peers.
 constexpr std::size_t readers_per_domain = 2;
 constexpr std::chrono::milliseconds reader_choice_period{200};
@@ -63,6 +66,9 @@
     core.store_lost_at_ = value.has_store ? time_point{} : core.shared_.now;
   }
   void operator()(const peers_found& value) const { core.on_peers_found(value); }
+  void operator()(const departure_recorded& value) const {
+    core.gate_.on_departure_recorded(value);
+  }
   void operator()(const outcomes_read& value) const { core.rollouts_.on_outcomes(value); }
   void operator()(const outcome_recorded& value) const { core.rollouts_.on_recorded(value); }
   void operator()(const stop_requested&) const { core.begin_stopping(); }
@@ -72,6 +78,7 @@
     : shared_(std::move(settings), seed, now), rollouts_(shared_), gate_(shared_, rollouts_),
       router_(shared_, rollouts_) {
   next_search_ = now;
+  shared_.registry.close_until(now + departure_read_patience);
   readers_chosen_at_ = now + first_reader_choice;
 }
 
@@ -367,6 +374,13 @@
 }
 
 void gateway_core::on_peers_found(const peers_found& found) {
+  shared_.registry.close_until({});
+  if (found.departed) {
+    shared_.registry.restore_departure(*found.departed, shared_.now);
+    shared_.write(engine::severity::info, "departure_restored",
+                  {{"instance", found.departed->instance_id},
+                   {"started_ms", std::to_string(found.departed->started_ms)}});
+  }
   for (const std::string& host : found.hosts) {
     if (host == shared_.settings.host || contacts_.contains(host)) {
       continue;
--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -234,6 +234,41 @@
   cr_assert(w.fleet.starts[0].size() == before);
 }
 
+// A heartbeat from before may arrive seconds late, and the acknowledgement binds the next process.
+Test(gateway, an_acknowledged_departure_outlives_the_process) {
+  world w;
+  const gateway::heartbeat from_before = w.fleet.next_heartbeat(0);
+  w.fleet.upstream(0).is_draining = true;
+  gateway::heartbeat leaving = w.fleet.next_heartbeat(0);
+  leaving.sequence += 1;
+  const std::uint64_t token = w.fleet.send_heartbeat(0, leaving);
+  cr_assert_not((w.fleet.acknowledged.contains(token)));
+  w.fleet.run_for(20ms);
+  cr_assert(w.fleet.acknowledged.contains(token));
+  w.fleet.upstream(1).is_draining = true; // so that callers would want the first
+  w.fleet.restart(0);
+  const std::size_t before = w.fleet.starts[0].size();
+  w.fleet.send_heartbeat(0, from_before);
+  for (int i = 0; i < 30; ++i) {
+    w.fleet.call(0, "shop.example", "/menu/1");
+    w.fleet.run_for(10ms);
+  }
+  cr_assert(w.fleet.starts[0].size() == before);
+}
+
+Test(gateway, a_departure_is_acknowledged_within_a_second_without_the_store) {
+  world w;
+  w.fleet.is_store_down = true;
+  w.fleet.upstream(0).is_draining = true;
+  gateway::heartbeat leaving = w.fleet.next_heartbeat(0);
+  leaving.sequence += 1;
+  const std::uint64_t token = w.fleet.send_heartbeat(0, leaving);
+  w.fleet.run_for(500ms);
+  cr_assert_not((w.fleet.acknowledged.contains(token)));
+  w.fleet.run_for(400ms);
+  cr_assert(w.fleet.acknowledged.contains(token));
+}
+
 Test(gateway, a_leaving_upstream_gets_no_new_work) {
   world w;
   w.fleet.upstream(0).is_draining = true;
--- a/src/arbutuslb/core/gateway/parts_test.cc
+++ b/src/arbutuslb/core/gateway/parts_test.cc
@@ -158,3 +158,25 @@
   cr_assert(registry.on_heartbeat(beat(3), start) == heartbeat_verdict::already_leaving);
   cr_assert_not((registry.is_usable(start)));
 }
+
+Test(upstream_registry, a_later_start_under_the_id_of_one_that_left_is_taken) {
+  upstream_registry registry("10.0.0.1:80");
+  registry.on_heartbeat(beat(3, 5), start);
+  registry.on_goodbye("i-1", start);
+  cr_assert(registry.on_heartbeat(beat(4, 5), start) == heartbeat_verdict::already_leaving);
+  cr_assert(registry.on_heartbeat(beat(1, 9), start) == heartbeat_verdict::accepted);
+  cr_assert(registry.is_usable(start));
+}
+
+Test(upstream_registry, a_departure_that_an_earlier_process_saw_holds) {
+  upstream_registry registry("10.0.0.1:80");
+  registry.close_until(start + 500ms);
+  cr_assert(registry.on_heartbeat(beat(3, 5), start) == heartbeat_verdict::accepted);
+  cr_assert_not((registry.is_usable(start)));
+  registry.restore_departure({"i-1", 5}, start);
+  registry.close_until({});
+  cr_assert_not((registry.is_usable(start)));
+  cr_assert(registry.on_heartbeat(beat(4, 5), start) != heartbeat_verdict::accepted);
+  cr_assert(registry.on_heartbeat(beat(1, 9), start) == heartbeat_verdict::accepted);
+  cr_assert(registry.is_usable(start));
+}
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -18,6 +18,11 @@
 constexpr std::chrono::milliseconds min_retry_after{50};
 // An upstream of a domain that returns is held to be cold until its heartbeat says otherwise.
 constexpr std::chrono::seconds assumed_cold_time{3};
+// The rest is kept for requests that reach the upstream later than they were sent.
+constexpr double used_extra_fraction = 0.5;
+// The upstream asks elsewhere after a second without an acknowledgement.
+constexpr std::chrono::milliseconds departure_patience{700};
+constexpr std::chrono::milliseconds departure_record_retry{200};
 constexpr double permille = 1000.0;
 
 bool is_server_error(const run_result& result) {
@@ -123,7 +128,11 @@
   }
   // A fresh process does not know what its predecessor let in during the last second.
   const bool knows_window = shared_.now - shared_.started >= cold_rate_window;
-  return policy->cold_rate * (knows_window ? shared_.settings.cold_load_factor : 1.0);
+  if (!knows_window) {
+    return policy->cold_rate;
+  }
+  return policy->cold_rate * shared_.settings.cold_load_factor +
+         used_extra_fraction * shared_.settings.cold_load_extra;
 }
 
 void upstream_gate::start(std::uint64_t token) {
@@ -273,8 +282,14 @@
   const std::optional<known_upstream> before = shared_.registry.known();
   const heartbeat_verdict verdict = shared_.registry.on_heartbeat(value.content, shared_.now);
   const bool is_accepted = verdict == heartbeat_verdict::accepted;
-  shared_.act(acknowledge_heartbeat{value.token, verdict != heartbeat_verdict::foreign,
-                                    to_string(verdict)});
+  if (is_accepted && value.content.state != upstream_lifecycle::ready) {
+    const bool is_first = !before || before->state == upstream_lifecycle::ready;
+    is_departure_recorded_ = is_departure_recorded_ && !is_first;
+    acknowledge_departure(value.token);
+  } else {
+    shared_.act(acknowledge_heartbeat{value.token, verdict != heartbeat_verdict::foreign,
+                                      to_string(verdict)});
+  }
   if (!is_accepted) {
     ++shared_.totals.heartbeats_refused;
     shared_.write(engine::severity::warning, "heartbeat_ignored",
@@ -308,8 +323,11 @@
 }
 
 void upstream_gate::on_goodbye(const goodbye_received& value) {
+  const std::optional<upstream_incarnation> before = shared_.registry.departed();
   const bool is_known = shared_.registry.on_goodbye(value.instance_id, shared_.now);
-  shared_.act(acknowledge_heartbeat{value.token, true, "gone"});
+  is_departure_recorded_ =
+      is_departure_recorded_ && before && before->instance_id == value.instance_id;
+  acknowledge_departure(value.token);
   shared_.write(
       engine::severity::info, "upstream_state",
       {{"instance", value.instance_id}, {"state", "gone"}, {"known", is_known ? "true" : "false"}});
@@ -319,6 +337,52 @@
   }
 }
 
+void upstream_gate::acknowledge_departure(std::uint64_t token) {
+  if (departure_tokens_.empty()) {
+    departure_since_ = shared_.now;
+    next_departure_record_ = shared_.now;
+  }
+  departure_tokens_.push_back(token);
+  pursue_departure();
+}
+
+void upstream_gate::pursue_departure() {
+  if (!shared_.registry.departed()) {
+    return;
+  }
+  if (is_departure_recorded_) {
+    release_acknowledgements("recorded");
+    return;
+  }
+  if (!is_recording_departure_ && shared_.now >= next_departure_record_) {
+    is_recording_departure_ = true;
+    shared_.act(record_departure{*shared_.registry.departed()});
+  }
+  if (!departure_tokens_.empty() && shared_.now - departure_since_ >= departure_patience) {
+    release_acknowledgements("not recorded in time");
+  }
+}
+
+void upstream_gate::on_departure_recorded(const departure_recorded& value) {
+  is_recording_departure_ = false;
+  next_departure_record_ = shared_.now + departure_record_retry;
+  const std::optional<upstream_incarnation>& departed = shared_.registry.departed();
+  is_departure_recorded_ = value.is_recorded && departed &&
+                           departed->instance_id == value.departed.instance_id &&
+                           departed->started_ms == value.departed.started_ms;
+  pursue_departure();
+}
+
+void upstream_gate::release_acknowledgements(const std::string& reason) {
+  for (const std::uint64_t token : std::exchange(departure_tokens_, {})) {
+    shared_.act(acknowledge_heartbeat{token, true, reason});
+    shared_.write(engine::severity::info, "departure_acknowledged",
+                  {{"instance", shared_.registry.departed()->instance_id},
+                   {"after_ms", std::to_string(to_milliseconds(shared_.now - departure_since_))},
+                   {"reason", reason}});
+  }
+}
+
 void upstream_gate::on_orders() {
   const bool is_withdrawn = shared_.orders.is_withdrawn(shared_.settings.domain);
   if (was_withdrawn_ != is_withdrawn) {
@@ -342,6 +406,9 @@
   if (queue_.waiting() > 0) {
     start_waiting();
   }
+  if (!departure_tokens_.empty() || !is_departure_recorded_) {
+    pursue_departure();
+  }
   mean_in_flight_ += in_flight_weight * (queue_.in_flight() - mean_in_flight_);
 }
 
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -32,6 +32,7 @@
   bool on_sending_ended(const sending_ended& end);
   void on_heartbeat(const heartbeat_received& value);
   void on_goodbye(const goodbye_received& value);
+  void on_departure_recorded(const departure_recorded& value);
   // Orders have changed.
   void on_orders();
   void on_tick();
@@ -62,6 +63,10 @@
   void refuse(const run& refused, const std::string& reason, duration retry_after);
   void refuse_waiting(const std::string& reason);
   void abandon(bool is_local, std::uint64_t reply_token);
+  // Acknowledges the heartbeat once the departure outlives this process.
+  void acknowledge_departure(std::uint64_t token);
+  void pursue_departure();
+  void release_acknowledgements(const std::string& reason);
   void note_end(const run& ended, const sending_ended& end);
   void update_limits();
   // Requests a second that the upstream bears while it is cold; zero if it is not cold.
@@ -77,6 +82,12 @@
   std::map<std::uint64_t, std::uint64_t> tokens_by_local_; // by the local sending
   std::vector<local_result> local_results_;
   std::map<std::string, double> route_means_; // microseconds
+  // The departure of the upstream that is being made durable.
+  std::vector<std::uint64_t> departure_tokens_; // heartbeats that wait for it
+  time_point departure_since_{};
+  time_point next_departure_record_{};
+  bool is_recording_departure_ = false;
+  bool is_departure_recorded_ = false;
   double failed_share_ = 0;
   bool was_withdrawn_ = false;
   // Evidence of the running rollout.
--- a/src/arbutuslb/core/gateway/upstream_registry.cc
+++ b/src/arbutuslb/core/gateway/upstream_registry.cc
@@ -9,6 +9,9 @@
 // and has not answered a request is held to be down.
 constexpr std::chrono::milliseconds heartbeat_patience{4500};
 constexpr std::chrono::milliseconds response_patience{3000};
+// A heartbeat may come this late. An upstream that said goodbye before it was known is told from a
+// later start under the same id by this time alone.
+constexpr std::chrono::seconds latest_heartbeat{30};
 
 } // namespace
 
@@ -30,9 +33,6 @@
   if (value.address != own_address_) {
     return heartbeat_verdict::foreign;
   }
-  if (value.instance_id == departed_id_) {
-    return heartbeat_verdict::already_leaving;
-  }
   if (known_) {
     const bool is_same_start =
         known_->instance_id == value.instance_id && known_->started_ms == value.started_ms;
@@ -45,6 +45,9 @@
       return heartbeat_verdict::already_leaving;
     }
   }
+  if (value.state == upstream_lifecycle::ready && has_departed(value, now)) {
+    return heartbeat_verdict::already_leaving;
+  }
   known_upstream fresh;
   fresh.instance_id = value.instance_id;
   fresh.started_ms = value.started_ms;
@@ -58,17 +61,45 @@
   fresh.heard_at = now;
   known_ = std::move(fresh);
   is_unreachable_ = false;
+  if (known_->state != upstream_lifecycle::ready) {
+    note_departure({known_->instance_id, known_->started_ms}, now);
+  }
   return heartbeat_verdict::accepted;
 }
 
-bool upstream_registry::on_goodbye(const std::string& instance_id, time_point now) {
-  departed_id_ = instance_id;
-  if (!known_ || known_->instance_id != instance_id) {
+bool upstream_registry::has_departed(const heartbeat& value, time_point now) const {
+  if (!departed_ || departed_->instance_id != value.instance_id) {
     return false;
   }
-  known_->state = upstream_lifecycle::gone;
-  known_->heard_at = now;
-  return true;
+  return departed_->started_ms == 0 ? now - departed_at_ < latest_heartbeat
+                                    : value.started_ms <= departed_->started_ms;
+}
+
+void upstream_registry::note_departure(upstream_incarnation departed, time_point now) {
+  departed_ = std::move(departed);
+  departed_at_ = now;
+}
+
+bool upstream_registry::on_goodbye(const std::string& instance_id, time_point now) {
+  const bool is_known = known_ && known_->instance_id == instance_id;
+  note_departure({instance_id, is_known ? known_->started_ms : 0}, now);
+  if (is_known) {
+    known_->state = upstream_lifecycle::gone;
+    known_->heard_at = now;
+  }
+  return is_known;
+}
+
+void upstream_registry::restore_departure(const upstream_incarnation& departed, time_point now) {
+  if (departed_) {
+    return; // this process has seen a later one
+  }
+  note_departure(departed, now);
+  const bool is_known = known_ && known_->instance_id == departed.instance_id &&
+                        (departed.started_ms == 0 || known_->started_ms <= departed.started_ms);
+  if (is_known) {
+    known_->state = upstream_lifecycle::gone;
+  }
 }
 
 void upstream_registry::assume_cold(time_point until) {
@@ -78,7 +109,8 @@
 }
 
 bool upstream_registry::is_usable(time_point now) const {
-  if (!known_ || known_->state != upstream_lifecycle::ready || is_unreachable_) {
+  if (now < closed_until_ || !known_ || known_->state != upstream_lifecycle::ready ||
+      is_unreachable_) {
     return false;
   }
   return now - known_->heard_at < heartbeat_patience || now - last_response_ < response_patience;
--- a/src/arbutuslb/core/gateway/upstream_registry.h
+++ b/src/arbutuslb/core/gateway/upstream_registry.h
@@ -14,6 +14,12 @@
 
 enum class upstream_lifecycle : std::uint8_t { ready, draining, gone };
 
+// One start of an upstream. `started_ms` is zero where it is not known.
+struct upstream_incarnation {
+  std::string instance_id;
+  std::int64_t started_ms = 0; // since the epoch
+};
+
 struct heartbeat {
   std::string instance_id;
   std::int64_t started_ms = 0; // since the epoch; names the incarnation
@@ -54,6 +60,12 @@
   heartbeat_verdict on_heartbeat(const heartbeat& value, time_point now);
   // The upstream ends. Returns false if it is not the known one; the id is remembered all the same.
   bool on_goodbye(const std::string& instance_id, time_point now);
+  // An earlier process of this daemon acknowledged that this upstream leaves.
+  void restore_departure(const upstream_incarnation& departed, time_point now);
+  // The upstream that last began to leave; nothing if none has.
+  const std::optional<upstream_incarnation>& departed() const noexcept { return departed_; }
+  // The upstream is not usable before `until`; a later call replaces the time.
+  void close_until(time_point until) { closed_until_ = until; }
   // The upstream refuses connections: it is held to be down until its next heartbeat.
   void on_unreachable() { is_unreachable_ = true; }
   void on_response(time_point now) { last_response_ = now; }
@@ -68,7 +80,12 @@
 private:
   std::string own_address_;
   std::optional<known_upstream> known_;
-  std::string departed_id_; // the last instance that said goodbye before it was known
+  bool has_departed(const heartbeat& value, time_point now) const;
+  void note_departure(upstream_incarnation departed, time_point now);
+
+  std::optional<upstream_incarnation> departed_;
+  time_point departed_at_{};
+  time_point closed_until_{};
   time_point last_response_{};
   bool is_unreachable_ = false;
 };
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -81,7 +81,21 @@
       }
     }
   }
-  void operator()(const gateway::acknowledge_heartbeat&) const {}
+  void operator()(const gateway::acknowledge_heartbeat& action) const {
+    if (action.is_accepted) {
+      fleet.acknowledged.insert(action.token);
+    }
+  }
+  void operator()(const gateway::record_departure& action) const {
+    gateway_fleet& owner = fleet;
+    const bool is_recorded = !owner.is_store_down;
+    if (is_recorded) {
+      owner.departures_[at] = action.departed;
+    }
+    owner.after(near_delay, [&owner, target = at, departed = action.departed, is_recorded] {
+      owner.handle(target, gateway::departure_recorded{departed, is_recorded});
+    });
+  }
   void operator()(const gateway::send_reports& action) const {
     gateway_fleet& owner = fleet;
     const std::size_t target = owner.number_of(action.host);
@@ -121,6 +135,10 @@
     for (const node& item : fleet.nodes_) {
       found.hosts.push_back(item.settings.host);
     }
+    const auto departed = fleet.departures_.find(at);
+    if (departed != fleet.departures_.end()) {
+      found.departed = departed->second;
+    }
     gateway_fleet& owner = fleet;
     owner.after(near_delay, [&owner, target = at, found] { owner.handle(target, found); });
   }
@@ -237,14 +255,24 @@
 }
 
 void gateway_fleet::beat(std::size_t at) {
-  node& value = nodes_[at];
-  if (value.upstream.is_down) {
-    return;
+  if (!nodes_[at].upstream.is_down) {
+    ++nodes_[at].sequence;
+    send_heartbeat(at, next_heartbeat(at));
   }
+}
+
+std::uint64_t gateway_fleet::send_heartbeat(std::size_t at, const gateway::heartbeat& content) {
+  const std::uint64_t token = ++last_token_;
+  handle(at, gateway::heartbeat_received{token, content});
+  return token;
+}
+
+gateway::heartbeat gateway_fleet::next_heartbeat(std::size_t at) const {
+  const node& value = nodes_[at];
   gateway::heartbeat beat;
   beat.instance_id = "i-" + std::to_string(at);
   beat.started_ms = 1000 + static_cast<std::int64_t>(at);
-  beat.sequence = ++value.sequence;
+  beat.sequence = value.sequence;
   beat.service = value.settings.service;
   beat.version = value.upstream.version;
   beat.address = value.settings.upstream_address;
@@ -252,7 +280,7 @@
   beat.state = value.upstream.is_draining ? gateway::upstream_lifecycle::draining
                                           : gateway::upstream_lifecycle::ready;
   beat.cold_for = value.upstream.cold_for;
-  handle(at, gateway::heartbeat_received{++last_token_, beat});
+  return beat;
 }
 
 void gateway_fleet::run_at_upstream(std::size_t at, const gateway::send_to_upstream& action) {
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -46,6 +46,10 @@
                      bool is_get = true,
                      core::duration time_left = std::chrono::milliseconds{2000});
   void leave(std::size_t at, std::uint64_t token);
+  // What the upstream beside a daemon said last; to be sent again, late or changed.
+  core::gateway::heartbeat next_heartbeat(std::size_t at) const;
+  // Returns the token that is in `acknowledged` once it was.
+  std::uint64_t send_heartbeat(std::size_t at, const core::gateway::heartbeat& content);
   void stop(std::size_t at);
   // Ends the process and starts a new one that knows nothing.
   void restart(std::size_t at);
@@ -55,6 +59,7 @@
   core::time_point now() const { return now_; }
 
   std::map<std::uint64_t, core::http_response> answers; // by token
+  std::set<std::uint64_t> acknowledged;                 // tokens of heartbeats
   std::map<std::string, int> runs;                      // of each attempt, at all upstreams
   std::map<std::string, std::string> run_versions;      // the version that ran each attempt
   std::vector<std::size_t> running_now;                 // by daemon
@@ -99,6 +104,7 @@
   std::map<std::pair<std::size_t, std::uint64_t>, std::pair<std::size_t, std::uint64_t>>
       peer_tokens_; // of a gate's token: the daemon and the sending that wait for it
   std::uint64_t last_token_ = 0;
+  std::map<std::size_t, core::gateway::upstream_incarnation> departures_; // in the store
 };
 
 } // namespace arbutuslb::fakes
--- a/src/arbutuslb/platform/requests.h
+++ b/src/arbutuslb/platform/requests.h
@@ -5,6 +5,9 @@
 
 namespace arbutuslb::platform {
 
+// Asked for by the platform once a second; 200 means that callers may be sent here.
+inline constexpr const char* readiness_path = "/readiness";
+
 // Takes the fields that the daemons act on out of a caller's request.
 core::gateway::call decode_call(core::http_request request);
 
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -10,6 +10,7 @@
 #include "arbutuslb/runtime/gateway_metrics.h"
 #include "arbutuslb/runtime/http/server.h"
 #include "arbutuslb/runtime/log_writer.h"
+#include "arbutuslb/runtime/member_registry.h"
 #include "arbutuslb/runtime/order_follower.h"
 #include "arbutuslb/runtime/settings.h"
 #include "arbutuslb/runtime/wire/gateway_codec.h"
@@ -35,7 +36,6 @@
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
-constexpr const char* readiness_path = "/readiness";
 constexpr const char* run_path = "/run";
 constexpr const char* orders_path = "/orders";
 // Time-outs of connections are checked this often.
@@ -73,6 +73,11 @@
         core(values.core, random_seed(), clock.now()), log(STDOUT_FILENO),
         signals(loop, SIGTERM, SIGINT, SIGHUP), timer(loop), peer_client(loop),
         upstream_client(loop), store_connections(loop), store(store_connections, values.store),
+        members(store, values.core.host, values.core.name,
+                [this](const std::string& reason) {
+                  write_event(core::engine::severity::error, "departure_malformed",
+                              {{"reason", reason}});
+                }),
         follower(
             loop, store, random_seed(),
             [this](platform::read_result records, bool is_whole) {
@@ -154,6 +159,9 @@
     }
     void operator()(const gateway::fetch_orders& action) const { host.fetch_orders(action); }
     void operator()(const gateway::find_peers&) const { host.find_peers(); }
+    void operator()(const gateway::record_departure& action) const {
+      host.record_departure(action.departed);
+    }
     void operator()(const gateway::read_outcomes&) const { host.read_outcomes(); }
     void operator()(const gateway::record_outcome& action) const { host.record_outcome(action); }
     void operator()(const core::engine::write_event& action) const {
@@ -294,7 +302,7 @@
   }
 
   void on_readiness(std::uint64_t token, const core::http_request& request) {
-    const bool is_asked = request.target == readiness_path;
+    const bool is_asked = request.target == platform::readiness_path;
     const int status = !is_asked         ? status_not_found
                        : core.is_ready() ? status_ok
                                          : status_unavailable;
@@ -391,31 +399,12 @@
   }
 
   void find_peers() {
-    if (!is_registered) {
-      store.append(platform::members_topic, settings.core.host, settings.core.name, std::nullopt,
-                   [this](const platform::append_result& result) {
-                     is_registered = result.status == platform::append_status::appended;
-                     read_peers();
-                   });
-      return;
-    }
-    read_peers();
+    members.find([this](gateway::peers_found found) { handle(std::move(found)); });
   }
 
-  void read_peers() {
-    store.read_newest(platform::members_topic, [this](const platform::read_result& result) {
-      if (result.status != platform::read_status::ok) {
-        return; // looked for again by the core
-      }
-      gateway::peers_found found;
-      for (const platform::store_record& record : result.records) {
-        std::error_code error;
-        asio::ip::make_address_v4(record.key, error);
-        if (!error && !record.value.empty()) {
-          found.hosts.push_back(record.key);
-        }
-      }
-      handle(std::move(found));
+  void record_departure(const gateway::upstream_incarnation& departed) {
+    members.record_departure(departed, [this, departed](bool is_recorded) {
+      handle(gateway::departure_recorded{departed, is_recorded});
     });
   }
 
@@ -560,6 +549,7 @@
   http::client upstream_client;
   http::client store_connections;
   platform::store_client store;
+  member_registry members;
   order_follower follower;
   http::server callers;
   http::server peers;
@@ -570,7 +560,6 @@
   std::array<char, max_datagram_size> datagram{};
   std::map<std::uint64_t, std::pair<http::client*, std::uint64_t>> exchanges; // by sending
   std::uint64_t configured_version = 0;
-  bool is_registered = false;
   core::time_point swept_at{};
   core::time_point stopping_at{};
 };
--- a/src/arbutuslb/runtime/gateway_settings.cc
+++ b/src/arbutuslb/runtime/gateway_settings.cc
@@ -15,6 +15,7 @@
 constexpr double max_retry_ratio = 10.0;
 constexpr double max_retry_extra = 1e6;
 constexpr double max_cold_load_factor = 10.0;
+constexpr double max_cold_load_extra = 1000.0;
 // The smallest instances that are known, against which strength is counted.
 constexpr double weakest_cores = 0.1;
 constexpr double weakest_link = 10.0; // Mbit/s
@@ -65,6 +66,8 @@
   settings.core.service = upstream_reader.required_string("service");
   settings.core.cold_load_factor = upstream_reader.optional_number(
       "cold_load_factor", settings.core.cold_load_factor, 1.0, max_cold_load_factor);
+  settings.core.cold_load_extra = upstream_reader.optional_number(
+      "cold_load_extra", settings.core.cold_load_extra, 0.0, max_cold_load_extra);
   upstream_reader.finish();
   settings.store = read_address(reader, "store", findings);
   const object_reader::element retries = reader.optional_object("retries");
--- /dev/null
+++ b/src/arbutuslb/runtime/member_registry.cc
@@ -0,0 +1,80 @@
+#include "arbutuslb/runtime/member_registry.h"
+
+#include "arbutuslb/platform/orders.h"
+#include "arbutuslb/runtime/wire/gateway_codec.h"
+
+#include <asio/ip/address_v4.hpp>
+#include <utility>
+
+namespace arbutuslb::runtime {
+namespace {
+
+namespace gateway = core::gateway;
+
+// Beside the records of the daemons, whose keys are their addresses.
+std::string departure_key(const std::string& host) {
+  return "departed:" + host;
+}
+
+bool is_address(const std::string& key) {
+  std::error_code error;
+  asio::ip::make_address_v4(key, error);
+  return !error;
+}
+
+} // namespace
+
+member_registry::member_registry(platform::store_client& store, std::string host, std::string name,
+                                 std::function<void(const std::string&)> on_malformed)
+    : store_(store), host_(std::move(host)), name_(std::move(name)),
+      on_malformed_(std::move(on_malformed)) {}
+
+void member_registry::find(std::function<void(gateway::peers_found)> on_found) {
+  if (is_registered_) {
+    read(std::move(on_found));
+    return;
+  }
+  store_.append(
+      platform::members_topic, host_, name_, std::nullopt,
+      [this, on_found = std::move(on_found)](const platform::append_result& result) mutable {
+        is_registered_ = result.status == platform::append_status::appended;
+        read(std::move(on_found));
+      });
+}
+
+void member_registry::read(std::function<void(gateway::peers_found)> on_found) {
+  store_.read_newest(platform::members_topic,
+                     [this, on_found = std::move(on_found)](const platform::read_result& result) {
+                       if (result.status == platform::read_status::ok) {
+                         on_found(decode(result));
+                       } // else looked for again by the core
+                     });
+}
+
+gateway::peers_found member_registry::decode(const platform::read_result& result) const {
+  gateway::peers_found found;
+  for (const platform::store_record& record : result.records) {
+    if (is_address(record.key) && !record.value.empty()) {
+      found.hosts.push_back(record.key);
+    }
+    if (record.key != departure_key(host_)) {
+      continue;
+    }
+    try {
+      found.departed = wire::decode_departure(record.value);
+    } catch (const wire::codec_error& error) {
+      on_malformed_(error.what());
+    }
+  }
+  return found;
+}
+
+void member_registry::record_departure(const gateway::upstream_incarnation& departed,
+                                       std::function<void(bool)> on_end) {
+  store_.append(platform::members_topic, departure_key(host_), wire::encode_departure(departed),
+                std::nullopt, [on_end = std::move(on_end)](const platform::append_result& result) {
+                  on_end(result.status == platform::append_status::appended);
+                });
+}
+
+} // namespace arbutuslb::runtime
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -252,4 +252,16 @@
   return parse<OrdersRequest>(bytes).from_offset();
 }
 
+std::string encode_departure(const gateway::upstream_incarnation& value) {
+  Departure out;
+  out.set_instance_id(value.instance_id);
+  out.set_started_ms(value.started_ms);
+  return out.SerializeAsString();
+}
+
+gateway::upstream_incarnation decode_departure(std::string_view bytes) {
+  const Departure in = parse<Departure>(bytes);
+  return {in.instance_id(), in.started_ms()};
+}
+
 } // namespace arbutuslb::runtime::wire
--- a/src/arbutuslb/runtime/wire/gateway_codec.h
+++ b/src/arbutuslb/runtime/wire/gateway_codec.h
@@ -3,6 +3,7 @@
 
 #include "arbutuslb/core/gateway/calls.h"
 #include "arbutuslb/core/gateway/peer_report.h"
+#include "arbutuslb/core/gateway/upstream_registry.h"
 #include "arbutuslb/runtime/wire/codec.h"
 
 #include <string>
@@ -27,6 +28,7 @@
 std::string encode(const std::vector<core::gateway::aged_report>& reports);
 std::string encode(const orders_reply& value);
 std::string encode_orders_request(std::uint64_t from_offset);
+std::string encode_departure(const core::gateway::upstream_incarnation& value);
 
 // All throw `codec_error` if the bytes are malformed or hold a value out of range.
 core::gateway::run_request decode_run_request(std::string_view bytes);
@@ -36,5 +38,6 @@
                                                        const std::string& host);
 orders_reply decode_orders_reply(std::string_view bytes);
 std::uint64_t decode_orders_request(std::string_view bytes);
+core::gateway::upstream_incarnation decode_departure(std::string_view bytes);
 
 } // namespace arbutuslb::runtime::wire
