--- a/src/arbutuslb/core/gateway/parts_test.cc
+++ b/src/arbutuslb/core/gateway/parts_test.cc
@@ -94,6 +94,26 @@
   cr_assert(at_fresh > requests / 6);
 }
 
+Test(peer_directory, large_requests_stay_in_the_domain_where_small_ones_leave_it_for_speed) {
+  peer_directory directory("a", "10.0.0.9");
+  peer_report slow_near = report_of("10.0.0.1");
+  slow_near.routes = {{7, 180ms}};
+  peer_report fast_far = report_of("10.0.0.2");
+  fast_far.domain = "b";
+  fast_far.routes = {{7, 60ms}};
+  directory.merge(slow_near, start);
+  directory.merge(fast_far, start);
+  arbutuslb::core::random_source random(1);
+  upstream_query query = query_of(0);
+  query.route_hash = 7;
+  for (int i = 0; i < 20; ++i) {
+    query.size = 200;
+    cr_assert_eq(*directory.choose(query, {}, start, random), "10.0.0.2");
+    query.size = 6000;
+    cr_assert_eq(*directory.choose(query, {}, start, random), "10.0.0.1");
+  }
+}
+
 Test(mesh_configuration, the_longest_prefix_wins) {
   mesh_configuration configuration;
   for (const char* prefix : {"/", "/a/", "/a/b/"}) {
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -10,8 +10,11 @@
 namespace arbutuslb::core::gateway {
 namespace {
 
-// The part of a request's value that its bytes cost when they leave the failure domain.
-constexpr double domain_crossing_cost = 0.05;
+// The part of a request's value that it costs to leave the failure domain: for itself, and for each
+// kilobyte of it and its answer.
+constexpr double domain_crossing_cost = 0.02;
+constexpr double crossing_cost_per_kilobyte = 0.035;
+constexpr double kilobyte = 1000.0;
 // Expected times below this part of the target latency carry no risk of being late.
 constexpr double safe_latency_fraction = 0.35;
 // Risk of an upstream's failing answers, for each permille of them.
@@ -112,7 +115,10 @@
   const double utilization = std::min(1.0, load / limit);
   double risk = lateness * lateness + 0.06 * utilization * utilization;
   risk += failure_cost * report.failed_permille;
-  risk += report.domain == own_domain_ ? 0.0 : domain_crossing_cost;
+  if (report.domain != own_domain_) {
+    risk += domain_crossing_cost +
+            crossing_cost_per_kilobyte * static_cast<double>(query.size) / kilobyte;
+  }
   risk += is_live(candidate, now) ? 0.0 : silent_cost;
   return risk;
 }
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -31,6 +31,7 @@
   std::function<bool(const std::string& version)> allows_version;
   std::span<const std::string> tried; // hosts that have refused or failed the request
   int rank = 0;                       // 0 is the most urgent
+  std::size_t size = 0;               // bytes of such a request and its answer
   bool allows_silent = true;
   // True if a peer that lately had no room for a request as urgent may be asked again.
   bool allows_refused = false;
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -29,6 +29,8 @@
 // A request that may run again is taken back from an upstream that has had it for the route's
 // target latency and this multiple of the service's mean time.
 constexpr int patience_multiple = 4;
+// Weight of the newest request in the mean size of its route.
+constexpr double size_weight = 0.1;
 
 } // namespace
 
@@ -76,6 +78,9 @@
   query.target_latency = value.route->target_latency;
   query.tried = value.tried;
   query.rank = value.route->rank;
+  const auto size = mean_sizes_.find(value.route->name);
+  query.size = size == mean_sizes_.end() ? value.content.message.body.size()
+                                         : static_cast<std::size_t>(size->second);
   // Nothing is refused before a gate was asked: room comes back within milliseconds.
   query.allows_refused = value.offers == 0;
   query.allows_version = [this, &value](const std::string& version) {
@@ -235,8 +240,16 @@
   return base / 2 + shared_.random.jitter(base);
 }
 
+void request_router::note_size(const pending_call& value) {
+  const auto size =
+      static_cast<double>(value.content.message.body.size() + value.last.answer.body.size());
+  const auto [mean, is_first] = mean_sizes_.try_emplace(value.route->name, size);
+  mean->second += size_weight * (size - mean->second);
+}
+
 void request_router::finish(const pending_call& value) {
   if (value.last.outcome == run_outcome::answered) {
+    note_size(value);
     ++shared_.totals.answered;
     log_end(value, value.last.answer.status, "");
     shared_.act(answer_caller{value.token, value.last.answer});
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -71,6 +71,7 @@
   bool may_send_again(const pending_call& value);
   // The upstream has had the request for so long that another is worth asking.
   bool is_overdue(const pending_call& value) const;
+  void note_size(const pending_call& value);
   void finish(const pending_call& value);
   void finish_with(const pending_call& value, int status, const std::string& reason,
                    duration retry_after);
@@ -83,6 +84,7 @@
   gateway_context& shared_;
   rollout_conductor& rollouts_;
   std::map<std::string, weighted_split> splits_;         // by route
+  std::map<std::string, double> mean_sizes_;             // bytes with the answer, by route
   std::map<std::string, routing::retry_budget> budgets_; // by service
   std::map<std::uint64_t, pending_call> pending_;        // by sending
   std::map<std::uint64_t, std::uint64_t> sendings_;      // by the caller's token
