A fault soak with real processes

What: arbutuslb_soak starts daemons as processes on loopback, with a stand-in of the platform's store, upstreams and callers of its own, and proxies on every link. A seed draws the faults: links delayed, reset, cut one way, silenced, refused; daemons frozen, killed, stopped, reloaded; the store down, silent, slow, losing or delaying answers; upstreams that leave and come back, with late heartbeats; a new version of the configuration every 1.5 s. It checks from what callers and upstreams see: at most once, refusals that stay true, whole answers with their signature, nothing after an acknowledged departure (also across a kill), in force in time, planned stops within their time, no daemon that ends by itself, service after the faults. For the proxies the daemon takes listen.peers_reached_at, the port of a port mapping. tools/soak runs seeds, several at once; tools/test runs three short ones without the checks of times. Not in it: datagrams between daemons are not proxied, the time of day does not jump.

--- /dev/null
+++ b/src/arbutuslb/fakes/platform_store.cc
@@ -0,0 +1,204 @@
+#include "arbutuslb/fakes/platform_store.h"
+
+#include <algorithm>
+#include <asio/steady_timer.hpp>
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/endian/conversion.hpp>
+#include <nlohmann/json.hpp>
+
+namespace arbutuslb::fakes {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_precondition_failed = 412;
+constexpr int status_unavailable = 503;
+constexpr std::size_t length_size = 4;
+
+std::string to_base64(const std::string& bytes) {
+  using namespace boost::archive::iterators;
+  using encoder = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+  std::string text(encoder(bytes.begin()), encoder(bytes.end()));
+  constexpr std::size_t group = 3;
+  text.append((group - bytes.size() % group) % group, '=');
+  return text;
+}
+
+// Splits "/path?a=b&c=d"; nothing that is asked here needs decoding.
+std::pair<std::string, std::map<std::string, std::string>> split_target(const std::string& target) {
+  std::map<std::string, std::string> parameters;
+  const std::size_t question = std::min(target.find('?'), target.size());
+  std::size_t at = question + 1;
+  while (at < target.size()) {
+    const std::size_t end = std::min(target.find('&', at), target.size());
+    const std::string part = target.substr(at, end - at);
+    const std::size_t equals = std::min(part.find('='), part.size());
+    parameters[part.substr(0, equals)] = equals < part.size() ? part.substr(equals + 1) : "";
+    at = end + 1;
+  }
+  return {target.substr(0, question), std::move(parameters)};
+}
+
+std::string value_of(const std::string& content) {
+  return content.substr(1 + static_cast<unsigned char>(content.front()));
+}
+
+void append_number(std::string& bytes, std::uint64_t value) {
+  std::array<unsigned char, sizeof(value)> encoded{};
+  boost::endian::store_big_u64(encoded.data(), value);
+  bytes.append(encoded.begin(), encoded.end());
+}
+
+} // namespace
+
+platform_store::platform_store(asio::io_context& loop, const asio::ip::tcp::endpoint& address,
+                               std::uint64_t seed)
+    : loop_(loop), random_(seed),
+      server_(loop, address,
+              {[this](std::uint64_t token, const core::http_request& request) {
+                 on_request(token, request);
+               },
+               [this](std::uint64_t token) {
+                 std::erase_if(waiting_,
+                               [token](const waiting_read& item) { return item.token == token; });
+               }}) {}
+
+platform_store::~platform_store() {
+  *is_alive_ = false;
+}
+
+void platform_store::after(core::duration delay, std::function<void()> what) {
+  const std::shared_ptr<asio::steady_timer> timer =
+      std::make_shared<asio::steady_timer>(loop_, delay);
+  timer->async_wait([timer, is_alive = is_alive_, what = std::move(what)](std::error_code error) {
+    if (!error && *is_alive) {
+      what();
+    }
+  });
+}
+
+void platform_store::respond(std::uint64_t token, int status, std::string body) {
+  core::http_response answer;
+  answer.status = status;
+  answer.body = std::move(body);
+  if (trouble_.delay == core::duration::zero()) {
+    server_.respond(token, answer);
+    return;
+  }
+  after(trouble_.delay, [this, token, answer] { server_.respond(token, answer); });
+}
+
+void platform_store::on_request(std::uint64_t token, const core::http_request& request) {
+  if (trouble_.is_silent) {
+    return;
+  }
+  if (trouble_.is_down) {
+    respond(token, status_unavailable, "");
+    return;
+  }
+  const auto [path, asked] = split_target(request.target);
+  const auto topic = asked.find("topic");
+  if (topic == asked.end()) {
+    respond(token, status_bad_request, "");
+  } else if (path == "/log-append") {
+    append(token, asked, request.body);
+  } else if (path == "/log-read") {
+    read(token, asked);
+  } else {
+    read_newest(token, topic->second);
+  }
+}
+
+void platform_store::append(std::uint64_t token, const parameters& asked, const std::string& body) {
+  if (random_.fraction() < trouble_.late_append_share) {
+    const core::duration delay = random_.jitter(trouble_.latest);
+    after(delay, [this, asked, body] { apply(asked, body); });
+    return; // no answer
+  }
+  const int status = apply(asked, body);
+  if (random_.fraction() < trouble_.lost_answer_share) {
+    return;
+  }
+  const json answer{{"endOffset", topics_[asked.at("topic")].size()}};
+  respond(token, status, answer.dump());
+}
+
+int platform_store::apply(const parameters& asked, const std::string& body) {
+  std::vector<record>& records = topics_[asked.at("topic")];
+  const auto at = asked.find("at");
+  if (at != asked.end() && std::stoull(at->second) != records.size()) {
+    return status_precondition_failed;
+  }
+  for (std::size_t position = 0; position + length_size < body.size();) {
+    const std::size_t size =
+        boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(body.data() + position));
+    std::string content = body.substr(position + length_size, size);
+    position += length_size + size;
+    std::string key = content.substr(1, static_cast<unsigned char>(content.front()));
+    records.push_back({std::move(key), std::move(content)});
+  }
+  answer_waiting(asked.at("topic"));
+  return status_ok;
+}
+
+void platform_store::read(std::uint64_t token, const parameters& asked) {
+  const waiting_read wanted{token, asked.at("topic"), std::stoull(asked.at("from"))};
+  if (wanted.from < topics_[wanted.topic].size()) {
+    answer_read(wanted);
+    return;
+  }
+  waiting_.push_back(wanted);
+  after(std::chrono::milliseconds{std::stoll(asked.at("waitMs"))}, [this, wanted] {
+    const auto is_same = [&](const waiting_read& item) { return item.token == wanted.token; };
+    if (std::erase_if(waiting_, is_same) > 0) {
+      answer_read(wanted);
+    }
+  });
+}
+
+void platform_store::answer_waiting(const std::string& topic) {
+  for (const waiting_read& item : std::exchange(waiting_, {})) {
+    if (item.topic == topic && item.from < topics_[topic].size()) {
+      answer_read(item);
+    } else {
+      waiting_.push_back(item);
+    }
+  }
+}
+
+void platform_store::answer_read(const waiting_read& read) {
+  const std::vector<record>& records = topics_[read.topic];
+  std::string bytes;
+  append_number(bytes, records.size());
+  append_number(bytes, 0);
+  for (std::size_t i = read.from; i < records.size(); ++i) {
+    std::array<unsigned char, length_size> length{};
+    boost::endian::store_big_u32(length.data(),
+                                 static_cast<std::uint32_t>(records[i].content.size()));
+    bytes.append(length.begin(), length.end());
+    bytes += records[i].content;
+  }
+  respond(read.token, status_ok, std::move(bytes));
+}
+
+void platform_store::read_newest(std::uint64_t token, const std::string& topic) {
+  const std::vector<record>& records = topics_[topic];
+  std::map<std::string, std::size_t> newest;
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    newest[records[i].key] = i;
+  }
+  json items = json::array();
+  for (const auto& [key, offset] : newest) {
+    const std::string value = value_of(records[offset].content);
+    if (!value.empty()) {
+      items.push_back({{"key", key}, {"value", to_base64(value)}, {"offset", offset}});
+    }
+  }
+  const json page{{"items", std::move(items)}, {"more", false}, {"endOffset", records.size()}};
+  respond(token, status_ok, page.dump());
+}
+
+} // namespace arbutuslb::fakes
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -187,7 +187,7 @@
     options.max_idle = action.request.is_idempotent ? core::duration{usual_max_idle}
                                                     : core::duration{unsafe_max_idle};
     const std::uint64_t sending = action.sending;
-    const tcp::endpoint address(asio::ip::make_address_v4(action.host), settings.peers.port());
+    const tcp::endpoint address(asio::ip::make_address_v4(action.host), settings.peer_port);
     const std::uint64_t exchange = peer_client.send(address, request, std::move(options),
                                                     [this, sending](const http::exchange_end& end) {
                                                       exchanges.erase(sending);
@@ -370,7 +370,7 @@
     http::send_options options;
     options.connect_timeout = peer_connect_timeout;
     options.answer_timeout = fetch_timeout;
-    const tcp::endpoint address(asio::ip::make_address_v4(action.host), settings.peers.port());
+    const tcp::endpoint address(asio::ip::make_address_v4(action.host), settings.peer_port);
     peer_client.send(address, request, std::move(options), [this](const http::exchange_end& end) {
       if (end.outcome == http::exchange_outcome::answered) {
         take_fetched_orders(end.answer.body);
--- a/src/arbutuslb/runtime/gateway_settings.cc
+++ b/src/arbutuslb/runtime/gateway_settings.cc
@@ -41,6 +41,8 @@
   object_reader reader(*from.value, from.place, findings);
   settings.callers = read_address(reader, "callers", findings);
   settings.peers = read_address(reader, "peers", findings);
+  settings.peer_port = static_cast<std::uint16_t>(
+      reader.optional_integer("peers_reached_at", settings.peers.port(), 1, max_port));
   settings.upstreams = read_address(reader, "upstreams", findings);
   settings.readiness = read_address(reader, "readiness", findings);
   settings.metrics = read_address(reader, "metrics", findings);
--- a/src/arbutuslb/runtime/gateway_settings.h
+++ b/src/arbutuslb/runtime/gateway_settings.h
@@ -15,6 +15,7 @@
   asio::ip::tcp::endpoint upstreams; // heartbeats
   asio::ip::tcp::endpoint readiness;
   asio::ip::tcp::endpoint metrics;
+  std::uint16_t peer_port = 0;      // at which daemons reach each other, on all instances
   std::uint16_t report_port = 0;    // datagrams between daemons, the same on all instances
   asio::ip::tcp::endpoint upstream; // the upstream beside the daemon
   asio::ip::tcp::endpoint store;
--- /dev/null
+++ b/src/arbutuslb/soak/link_proxy.h
@@ -0,0 +1,44 @@
+// A TCP proxy on loopback whose connections can be delayed, cut one way or both, and reset.
+//
+//   link_proxy link(loop, listen, target);
+//   link.set_fault({.delay = 50ms});
+//   link.reset_all();
+#pragma once
+
+#include "arbutuslb/core/base/time.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <memory>
+#include <set>
+
+namespace arbutuslb::soak {
+
+// The default is a sound link.
+struct link_fault {
+  core::duration delay{};       // of each piece of bytes, in both directions
+  bool drops_to_target = false; // bytes towards the target vanish; the connection stays open
+  bool drops_to_caller = false;
+  bool refuses = false; // connections are closed as soon as they are accepted
+};
+
+// Not thread-safe.
+class link_proxy {
+public:
+  link_proxy(asio::io_context& loop, const asio::ip::tcp::endpoint& listen,
+             const asio::ip::tcp::endpoint& target);
+  ~link_proxy();
+  link_proxy(const link_proxy&) = delete;
+  link_proxy& operator=(const link_proxy&) = delete;
+
+  void set_fault(const link_fault& fault);
+  // Resets all connections of the moment.
+  void reset_all();
+
+private:
+  class session;
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+} // namespace arbutuslb::soak
