Tests of one daemon asked directly; each promise of the gate fails without its mechanism

Cause: nobody had tried which tests of the data path fail when their mechanism is taken out. Six of ten did not: the callers' side kept the promise before the gate was asked, or two guards stood behind each other. Change: core/gateway/gate_test.cc asks one daemon directly (withdrawn domain, another upstream, no configuration, a planned stop, a caller that leaves); two tests on the fleet (an unsafe request that failed at its upstream, the budget when every upstream fails).

--- /dev/null
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -0,0 +1,162 @@
+// One daemon of the data path, asked directly: what it refuses, cancels and waits for whatever its
+// peers believe. Each of these tests was seen to fail without the mechanism that it names.
+
+#include "arbutuslb/core/gateway/gateway_core.h"
+
+#include <criterion/criterion.h>
+#include <memory>
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace gateway = arbutuslb::core::gateway;
+using arbutuslb::core::time_point;
+
+const time_point start{1000s};
+constexpr const char* instance = "i-1";
+
+gateway::gateway_settings settings() {
+  gateway::gateway_settings value;
+  value.name = "one";
+  value.host = "10.0.0.1";
+  value.domain = "a";
+  value.service = "menu";
+  value.upstream_address = "10.0.0.1:80";
+  return value;
+}
+
+gateway::orders_received orders() {
+  auto configuration = std::make_shared<gateway::mesh_configuration>();
+  configuration->version = 1;
+  configuration->services["menu"].name = "menu";
+  gateway::route_policy route;
+  route.name = "r-menu";
+  route.host = "shop.example";
+  route.path_prefix = "/menu/";
+  route.is_idempotent = true;
+  route.timeout = 1000ms;
+  route.target_latency = 300ms;
+  route.max_upstreams = 2;
+  route.split = {{"menu", 1.0}};
+  configuration->routes["shop.example"]["/menu/"] = route;
+  gateway::orders_received value;
+  value.records.push_back({0, "config", "", std::move(configuration)});
+  value.end_offset = 1;
+  return value;
+}
+
+gateway::heartbeat heartbeat() {
+  gateway::heartbeat value;
+  value.instance_id = instance;
+  value.started_ms = 5;
+  value.sequence = 1;
+  value.service = "menu";
+  value.version = "v1";
+  value.address = "10.0.0.1:80";
+  value.slots = 4;
+  return value;
+}
+
+// A daemon that knows its peers in the store and its upstream.
+struct tested_daemon {
+  explicit tested_daemon(bool has_orders = true) {
+    core.handle(gateway::peers_found{}, start);
+    if (has_orders) {
+      core.handle(orders(), start);
+    }
+    core.handle(gateway::heartbeat_received{1, heartbeat()}, start);
+  }
+  std::vector<gateway::action> run(const std::string& instance_id = instance) {
+    gateway::run_requested request;
+    request.token = 7;
+    request.content.content.attempt_id = "a-1";
+    request.content.instance_id = instance_id;
+    request.content.route = "r-menu";
+    request.content.time_left = 1000ms;
+    request.content.target_time_left = 300ms;
+    return core.handle(request, start);
+  }
+  gateway::gateway_core core{settings(), 1, start};
+};
+
+template <typename wanted>
+const wanted* find(const std::vector<gateway::action>& actions) {
+  for (const gateway::action& item : actions) {
+    if (const wanted* found = std::get_if<wanted>(&item)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+bool is_refused(const std::vector<gateway::action>& actions) {
+  const gateway::answer_peer* answer = find<gateway::answer_peer>(actions);
+  return find<gateway::send_to_upstream>(actions) == nullptr && answer != nullptr &&
+         answer->result.outcome == gateway::run_outcome::not_run;
+}
+
+} // namespace
+
+Test(gate, runs_what_it_may) {
+  tested_daemon one;
+  cr_assert(find<gateway::send_to_upstream>(one.run()) != nullptr);
+}
+
+Test(gate, of_a_withdrawn_domain_refuses_whoever_asks) {
+  tested_daemon one;
+  gateway::orders_received withdrawal;
+  withdrawal.records.push_back({1, "evacuate/a", "", gateway::domain_withdrawal{"a"}});
+  withdrawal.end_offset = 2;
+  one.core.handle(withdrawal, start);
+  cr_assert(is_refused(one.run()));
+}
+
+Test(gate, refuses_what_is_meant_for_another_upstream) {
+  tested_daemon one;
+  cr_assert(is_refused(one.run("i-before")));
+}
+
+Test(gate, without_a_configuration_refuses) {
+  tested_daemon one(false);
+  cr_assert(is_refused(one.run()));
+}
+
+Test(gate, a_planned_stop_serves_open_connections_until_callers_are_told) {
+  tested_daemon one;
+  one.core.handle(gateway::stop_requested{}, start);
+  cr_assert(find<gateway::exit_process>(one.core.handle(gateway::tick{}, start + 2000ms)) ==
+            nullptr);
+  cr_assert(find<gateway::exit_process>(one.core.handle(gateway::tick{}, start + 2400ms)) !=
+            nullptr);
+}
+
+Test(gate, a_caller_that_leaves_cancels_its_request_at_the_peer) {
+  tested_daemon one;
+  gateway::peer_report peer;
+  peer.name = "two";
+  peer.host = "10.0.0.2";
+  peer.domain = "a";
+  peer.boot = 1;
+  peer.sequence = 1;
+  peer.service = "menu";
+  peer.instance_id = "i-2";
+  peer.is_usable = true;
+  peer.limit = 4;
+  one.core.handle(gateway::reports_received{"10.0.0.2", {{peer, {}}}}, start);
+  gateway::heartbeat leaving = heartbeat();
+  leaving.sequence = 2;
+  leaving.state = gateway::upstream_lifecycle::draining; // so that the peer is chosen
+  one.core.handle(gateway::heartbeat_received{2, leaving}, start);
+  gateway::call_received call;
+  call.token = 9;
+  call.content.attempt_id = "a-1";
+  call.content.host = "shop.example";
+  call.content.message.target = "/menu/1";
+  const std::vector<gateway::action> sent = one.core.handle(call, start);
+  const gateway::send_to_peer* sending = find<gateway::send_to_peer>(sent);
+  cr_assert(sending != nullptr);
+  const std::vector<gateway::action> left = one.core.handle(gateway::caller_left{9}, start);
+  const gateway::cancel_sending* cancelled = find<gateway::cancel_sending>(left);
+  cr_assert(cancelled != nullptr);
+  cr_assert_eq(cancelled->sending, sending->sending);
+}
--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -102,6 +102,41 @@
   }
 }
 
+Test(gateway, an_unsafe_request_that_failed_at_its_upstream_is_not_run_again) {
+  world w;
+  for (const std::size_t at : order_daemons) {
+    w.fleet.upstream(at).error_share = 1.0;
+  }
+  for (int i = 0; i < 20; ++i) {
+    w.fleet.call(static_cast<std::size_t>(i) % 8, "shop.example", "/orders/1", false);
+    w.fleet.run_for(60ms);
+  }
+  cr_assert_eq(w.fleet.runs.size(), 20);
+  for (const auto& [attempt, count] : w.fleet.runs) {
+    cr_assert(count == 1, "%s ran %d times", attempt.c_str(), count);
+  }
+}
+
+// The budget holds over all daemons together: a fifth of the requests and 60 more in 10 s, of which
+// each daemon may spend half of its equal share.
+Test(gateway, repeats_stay_within_the_budget_when_every_upstream_fails) {
+  world w;
+  for (const std::size_t at : menu_daemons) {
+    w.fleet.upstream(at).error_share = 1.0;
+  }
+  constexpr int calls = 1000;
+  for (int i = 0; i < calls; ++i) {
+    w.fleet.call(static_cast<std::size_t>(i) % 8, "shop.example", "/menu/1");
+    w.fleet.run_for(10ms);
+  }
+  int repeats = 0;
+  for (const auto& [attempt, count] : w.fleet.runs) {
+    repeats += count - 1;
+  }
+  cr_assert(repeats > 0);
+  cr_assert(repeats <= calls / 5 + 60, "%d repeats", repeats);
+}
+
 Test(gateway, a_safe_request_is_sent_again_within_the_budget) {
   world w;
   w.fleet.upstream(0).error_share = 1.0;
