The choice of an upstream walks a bounded subset and a sample, not the whole fleet

Change: peers are indexed by service; what follows from them (subset, oldest version) is derived once after a change, means at most every 100 ms. Each request is offered a sample of 4 local and 3 remote ones. The count of live daemons, the removal of expired ones and the question who has newer records no longer walk all peers each tick.

--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -25,6 +25,10 @@
 constexpr std::chrono::milliseconds first_unreachable_pause{300};
 constexpr std::chrono::milliseconds max_unreachable_pause{2400};
 constexpr std::chrono::milliseconds default_latency{60};
+// Upstreams that one request is offered, in the local failure domain and in the others.
+constexpr std::size_t local_sample_size = 4;
+constexpr std::size_t remote_sample_size = 3;
+constexpr std::chrono::seconds expiry_check_period{1};
 
 std::optional<duration> route_mean(const peer_report& report, std::uint32_t route_hash) {
   for (const route_latency& item : report.routes) {
@@ -41,61 +45,173 @@
     : local_domain_(std::move(local_domain)), local_host_(std::move(local_host)) {}
 
 peer_directory::merge_result peer_directory::merge(const peer_report& report, time_point now) {
-  peer& entry = peers_[report.host];
-  const bool is_new = entry.report.process_epoch != report.process_epoch;
-  if (report.process_epoch < entry.report.process_epoch ||
-      (!is_new && report.sequence <= entry.report.sequence && entry.report.sequence != 0)) {
+  peer& known = peers_[report.host];
+  if (known.hash == 0) {
+    known.hash = hash_bytes(report.host);
+  }
+  const bool is_new = known.report.process_epoch != report.process_epoch;
+  if (report.process_epoch < known.report.process_epoch ||
+      (!is_new && report.sequence <= known.report.sequence && known.report.sequence != 0)) {
     return {};
   }
-  const peer_report& before = entry.report;
+  const peer_report& before = known.report;
   const bool is_changed =
       is_new || before.is_usable != report.is_usable || before.instance_id != report.instance_id ||
       before.is_stopping != report.is_stopping || (before.cold_rate > 0) != (report.cold_rate > 0);
+  newest_log_end_ = std::max(newest_log_end_, report.operator_log_end);
+  live_count_ = is_new ? std::nullopt : live_count_;
+  if (is_changed || before.version != report.version || before.service != report.service) {
+    ++generation_;
+  }
   if (is_changed) {
-    entry.excluded_until = {};
-    entry.refused_until = {};
-    entry.consecutive_failures = 0;
+    known.excluded_until = {};
+    known.refused_until = {};
+    known.consecutive_failures = 0;
   }
-  const peer_report previous = std::exchange(entry.report, report);
+  const peer_report previous = std::exchange(known.report, report);
   if (report.routes.empty() && previous.instance_id == report.instance_id) {
     // A new process of the daemon has measured nothing, but the upstream is the same: keep the
     // means that the previous process measured.
-    entry.report.routes = previous.routes;
+    known.report.routes = previous.routes;
   }
-  entry.last_contact = std::max(entry.last_contact, now);
-  entry.reported_local_in_flight = entry.local_in_flight;
+  known.last_contact = std::max(known.last_contact, now);
+  known.reported_local_in_flight = known.local_in_flight;
   return {is_new, is_changed};
 }
 
 void peer_directory::remove_expired(time_point now) {
-  std::erase_if(peers_, [&](const auto& item) {
+  if (now - expired_removed_at_ < expiry_check_period) {
+    return;
+  }
+  expired_removed_at_ = now;
+  const std::size_t removed = std::erase_if(peers_, [&](const auto& item) {
     return now - item.second.last_contact > peer_retention && item.second.local_in_flight == 0;
   });
+  generation_ += removed;
 }
 
 bool peer_directory::is_live(const peer& candidate, time_point now) const {
   return now - candidate.last_contact < peer_staleness_limit;
 }
 
-duration peer_directory::typical_latency(const upstream_query& query) const {
+// --- views ---
+
+const peer_directory::service_view& peer_directory::view_of(std::string_view service) const {
+  std::map<std::string, service_view, std::less<>>::iterator found = views_.find(service);
+  if (found == views_.end()) {
+    found = views_.emplace(std::string(service), service_view{}).first;
+  }
+  service_view& view = found->second;
+  if (view.generation == generation_) {
+    return view;
+  }
+  view = service_view{};
+  view.generation = generation_;
+  const peer_report* oldest = nullptr;
+  for (const host_entry& item : peers_) {
+    const peer_report& report = item.second.report;
+    if (report.service != service) {
+      continue;
+    }
+    view.members.push_back(&item);
+    if (!report.instance_id.empty() &&
+        (oldest == nullptr || report.upstream_started_ms < oldest->upstream_started_ms)) {
+      oldest = &report;
+    }
+  }
+  std::sort(view.members.begin(), view.members.end(),
+            [](const host_entry* one, const host_entry* other) {
+              return one->second.hash < other->second.hash;
+            });
+  if (oldest != nullptr) {
+    view.oldest_version = oldest->version;
+  }
+  build_subset(view);
+  return view;
+}
+
+void peer_directory::build_subset(service_view& view) const {
+  // Each version has a subset of its own, since a request may be bound to one.
+  std::map<std::pair<std::string_view, std::string_view>, std::vector<const host_entry*>> groups;
+  std::set<std::string_view> remote_domains;
+  for (const host_entry* item : view.members) {
+    const peer_report& report = item->second.report;
+    if (!report.is_usable || report.is_stopping) {
+      continue;
+    }
+    groups[{report.domain, report.version}].push_back(item);
+    if (report.domain != local_domain_) {
+      remote_domains.insert(report.domain);
+    }
+  }
+  const auto [rank, callers] = ring_position();
+  const std::size_t remote_size = remote_subset_size_per_domain(remote_domains.size());
+  for (const auto& [key, upstreams] : groups) {
+    const std::size_t size = key.first == local_domain_ ? local_subset_size : remote_size;
+    for (const std::size_t index : ring_subset(rank, callers, upstreams.size(), size)) {
+      view.subset.push_back(upstreams[index]);
+    }
+  }
+}
+
+std::pair<std::size_t, std::size_t> peer_directory::ring_position() const {
+  const std::uint64_t local_hash = hash_bytes(local_host_);
+  std::size_t rank = 0;
+  std::size_t callers = 1;
+  for (const host_entry& item : peers_) {
+    if (item.first != local_host_ && item.second.report.domain == local_domain_) {
+      ++callers;
+      rank += item.second.hash < local_hash ? 1 : 0;
+    }
+  }
+  return {rank, callers};
+}
+
+const peer_directory::service_view& peer_directory::summary_of(std::string_view service,
+                                                               time_point now) const {
+  view_of(service);
+  service_view& view = views_.find(service)->second;
+  if (view.summarized_at != time_point{} && now - view.summarized_at < summary_period) {
+    return view;
+  }
+  view.summarized_at = now;
   duration sum{};
-  int count = 0;
-  for (const auto& [host, candidate] : peers_) {
-    const std::optional<duration> mean = candidate.report.service == query.service
-                                             ? route_mean(candidate.report, query.route_hash)
-                                             : std::nullopt;
-    if (mean) {
-      sum += *mean;
-      ++count;
+  int usable = 0;
+  std::map<std::uint32_t, std::pair<duration, int>> routes; // sum and number of means, by hash
+  for (const host_entry* item : view.members) {
+    const peer_report& report = item->second.report;
+    if (report.is_usable) {
+      sum += report.mean_latency;
+      ++usable;
+    }
+    for (const route_latency& route : report.routes) {
+      if (route.mean > duration::zero()) {
+        std::pair<duration, int>& total = routes[route.route_hash];
+        total.first += route.mean;
+        ++total.second;
+      }
     }
   }
-  if (count > 0) {
-    return sum / count;
+  view.mean_latency = usable == 0 ? duration{} : sum / usable;
+  view.routes.clear();
+  for (const auto& [hash, total] : routes) {
+    view.routes.push_back({hash, total.first / total.second});
   }
-  const duration service_latency = mean_latency(query.service);
-  return service_latency > duration::zero() ? service_latency : duration{default_latency};
+  return view;
 }
 
+duration peer_directory::typical_latency(const upstream_query& query, time_point now) const {
+  const service_view& view = summary_of(query.service, now);
+  for (const route_latency& route : view.routes) {
+    if (route.route_hash == query.route_hash) {
+      return route.mean;
+    }
+  }
+  return view.mean_latency > duration::zero() ? view.mean_latency : duration{default_latency};
+}
+
+// --- selection ---
+
 double peer_directory::risk_of(const peer& candidate, const upstream_query& query, duration typical,
                                time_point now) const {
   const peer_report& report = candidate.report;
@@ -125,33 +241,55 @@
   return risk;
 }
 
+bool peer_directory::is_eligible(const host_entry& item, const upstream_query& query,
+                                 const std::set<std::string>& excluded_domains,
+                                 time_point now) const {
+  const peer& candidate = item.second;
+  const peer_report& report = candidate.report;
+  const bool is_possible =
+      report.is_usable && !report.is_stopping && !excluded_domains.contains(report.domain) &&
+      now >= candidate.excluded_until && (query.allows_stale || is_live(candidate, now)) &&
+      query.allows_version(report.version);
+  if (!is_possible ||
+      std::find(query.tried.begin(), query.tried.end(), item.first) != query.tried.end()) {
+    return false;
+  }
+  return query.allows_refused || now >= candidate.refused_until ||
+         query.rank < candidate.refused_rank;
+}
+
 std::optional<std::string> peer_directory::choose(const upstream_query& query,
                                                   const std::set<std::string>& excluded_domains,
                                                   time_point now, random_source& random) {
-  std::optional<std::string> best;
-  double best_risk = 0;
-  const duration typical = typical_latency(query);
-  for (const auto& [host, candidate] : peers_) {
-    const peer_report& report = candidate.report;
-    const bool is_possible =
-        report.service == query.service && report.is_usable && !report.is_stopping &&
-        !excluded_domains.contains(report.domain) && now >= candidate.excluded_until &&
-        (query.allows_stale || is_live(candidate, now)) && query.allows_version(report.version);
-    if (!is_possible ||
-        std::find(query.tried.begin(), query.tried.end(), host) != query.tried.end()) {
-      continue;
+  const service_view& view = summary_of(query.service, now);
+  std::vector<const host_entry*> local;
+  std::vector<const host_entry*> remote;
+  for (const std::vector<const host_entry*>* candidates : {&view.subset, &view.members}) {
+    for (const host_entry* item : *candidates) {
+      if (is_eligible(*item, query, excluded_domains, now)) {
+        (item->second.report.domain == local_domain_ ? local : remote).push_back(item);
+      }
     }
-    if (!query.allows_refused && now < candidate.refused_until &&
-        query.rank >= candidate.refused_rank) {
-      continue;
+    if (!local.empty() || !remote.empty()) {
+      break;
     }
-    const double risk = risk_of(candidate, query, typical, now) + risk_jitter * random.fraction();
-    if (!best || risk < best_risk) {
-      best = host;
-      best_risk = risk;
+  }
+  local = random.sample(std::move(local), local_sample_size);
+  remote = random.sample(std::move(remote), remote_sample_size);
+  const duration typical = typical_latency(query, now);
+  const host_entry* best = nullptr;
+  double best_risk = 0;
+  for (const std::vector<const host_entry*>* sample : {&local, &remote}) {
+    for (const host_entry* item : *sample) {
+      const double risk =
+          risk_of(item->second, query, typical, now) + risk_jitter * random.fraction();
+      if (best == nullptr || risk < best_risk) {
+        best = item;
+        best_risk = risk;
+      }
     }
   }
-  return best;
+  return best == nullptr ? std::nullopt : std::optional<std::string>(best->first);
 }
 
 void peer_directory::on_sent(const std::string& host) {
@@ -214,34 +352,26 @@
   return found != peers_.end() && found->second.last_contact >= since;
 }
 
-duration peer_directory::mean_latency(std::string_view service) const {
-  duration sum{};
-  int count = 0;
-  for (const auto& [host, candidate] : peers_) {
-    if (candidate.report.service == service && candidate.report.is_usable) {
-      sum += candidate.report.mean_latency;
-      ++count;
-    }
-  }
-  return count == 0 ? duration{} : sum / count;
-}
-
-bool peer_directory::has_usable(std::string_view service, time_point now) const {
-  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
-    return item.second.report.service == service && item.second.report.is_usable &&
-           is_live(item.second, now);
-  });
+duration peer_directory::mean_latency(std::string_view service, time_point now) const {
+  return summary_of(service, now).mean_latency;
 }
 
 std::size_t peer_directory::live_count(time_point now) const {
-  return static_cast<std::size_t>(std::count_if(
-      peers_.begin(), peers_.end(), [&](const auto& item) { return is_live(item.second, now); }));
+  if (!live_count_ || now - live_counted_at_ >= summary_period) {
+    live_counted_at_ = now;
+    live_count_ = static_cast<std::size_t>(std::count_if(
+        peers_.begin(), peers_.end(), [&](const auto& item) { return is_live(item.second, now); }));
+  }
+  return *live_count_;
 }
 
 std::optional<std::string> peer_directory::peer_with_newer_records(std::uint64_t end_offset,
                                                                    bool allows_remote,
                                                                    time_point now,
                                                                    random_source& random) const {
+  if (newest_log_end_ <= end_offset) {
+    return std::nullopt;
+  }
   std::vector<std::string> matches;
   for (const auto& [host, candidate] : peers_) {
     const bool is_local = candidate.report.domain == local_domain_;
@@ -254,25 +384,8 @@
                          : std::optional<std::string>(matches[random.below(matches.size())]);
 }
 
-std::string peer_directory::oldest_version(std::string_view service) const {
-  const peer_report* oldest = nullptr;
-  for (const auto& [host, candidate] : peers_) {
-    const peer_report& report = candidate.report;
-    if (report.service == service && !report.instance_id.empty() &&
-        (oldest == nullptr || report.upstream_started_ms < oldest->upstream_started_ms)) {
-      oldest = &report;
-    }
-  }
-  return oldest == nullptr ? "" : oldest->version;
-}
-
-bool peer_directory::has_version(std::string_view service, std::string_view version,
-                                 time_point now) const {
-  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
-    const peer_report& report = item.second.report;
-    return report.service == service && report.version == version && report.is_usable &&
-           is_live(item.second, now);
-  });
+const std::string& peer_directory::oldest_version(std::string_view service) const {
+  return view_of(service).oldest_version;
 }
 
 std::vector<std::string> peer_directory::role_holders(std::string_view role,
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -3,13 +3,16 @@
 // The selection minimizes a risk score, the expected loss as a fraction of a request's value. It
 // sums the risk of a late answer (expected latency against the route's target latency), the risks
 // of a loaded upstream, of a failing one and of a peer without recent contact, and the cost of
-// traffic that leaves the failure domain.
+// traffic that leaves the failure domain. Each request is offered a random sample of the subset
+// that this daemon uses (upstream_subset.h): daemons that hold the same reports would otherwise all
+// select the same upstream until the next reports arrive.
 //
 //   std::optional<std::string> host = directory.choose(query, now, random);
 #pragma once
 
 #include "arbutuslb/core/base/random.h"
 #include "arbutuslb/core/gateway/peer_report.h"
+#include "arbutuslb/core/gateway/upstream_subset.h"
 
 #include <functional>
 #include <map>
@@ -25,6 +28,9 @@
 // A peer that has sent no report or answer for this long is removed.
 inline constexpr std::chrono::seconds peer_retention{30};
 
+// Means over many peers are computed at most this often.
+inline constexpr std::chrono::milliseconds summary_period{100};
+
 struct upstream_query {
   std::string_view service;
   std::uint32_t route_hash = 0;
@@ -53,8 +59,9 @@
   // Removes peers without contact for `peer_retention`, unless requests to them are in flight.
   void remove_expired(time_point now);
 
-  // Returns the host with the lowest risk, or nothing if no peer is eligible. Peers in
-  // `excluded_domains` are not eligible.
+  // Returns the host with the lowest risk in a random sample of the eligible peers of the subset,
+  // or of the service if none in the subset is eligible. Returns nothing if no peer is eligible.
+  // Peers in `excluded_domains` are not eligible. O(subset) while the members are unchanged.
   std::optional<std::string> choose(const upstream_query& query,
                                     const std::set<std::string>& excluded_domains, time_point now,
                                     random_source& random);
@@ -76,18 +83,17 @@
   // Returns true if a report or an answer of the peer has been received since `since`.
   bool has_contact_since(const std::string& host, time_point since) const;
 
-  // Returns the mean latency over the usable upstreams of a service; zero if there is none.
-  duration mean_latency(std::string_view service) const;
-  bool has_usable(std::string_view service, time_point now) const;
-  // Returns the number of live daemons, including this one.
+  // Returns the mean latency over the usable upstreams of a service; zero if there is none. May be
+  // `summary_period` old.
+  duration mean_latency(std::string_view service, time_point now) const;
+  // Returns the number of live daemons, including this one. May be `summary_period` old.
   std::size_t live_count(time_point now) const;
   // Returns a random live peer that has operator records beyond `end_offset`, in the local failure
   // domain or, if `allows_remote`, in any. Returns nothing if there is none.
   std::optional<std::string> peer_with_newer_records(std::uint64_t end_offset, bool allows_remote,
                                                      time_point now, random_source& random) const;
   // Returns the version of the longest-running upstream of the service; empty if there is none.
-  std::string oldest_version(std::string_view service) const;
-  bool has_version(std::string_view service, std::string_view version, time_point now) const;
+  const std::string& oldest_version(std::string_view service) const;
   // Returns the daemons, at most `count`, that are assigned a role in a failure domain, or in the
   // whole mesh if `domain` is empty. They are the first of the live daemons that are not stopping,
   // ordered by whether they can reach the store, then by highest capacity weight, then by
@@ -100,6 +106,7 @@
 
   struct peer {
     peer_report report;
+    std::uint64_t hash = 0; // of the host; orders the peers on the ring of the subsets
     time_point last_contact{};
     time_point excluded_until{}; // after the peer was unreachable
     time_point refused_until{};
@@ -111,17 +118,45 @@
   const std::map<std::string, peer>& peers() const noexcept { return peers_; }
 
 private:
+  using host_entry = std::pair<const std::string, peer>;
+  // What the selection needs to know of one service, derived from `peers_`.
+  struct service_view {
+    std::uint64_t generation = 0;           // value of `generation_` that `members` is derived from
+    std::vector<const host_entry*> members; // all upstreams, ordered by hash
+    std::vector<const host_entry*> subset;  // the upstreams that this daemon uses
+    std::string oldest_version;
+    time_point summarized_at{};
+    duration mean_latency{};
+    std::vector<route_latency> routes; // mean over the upstreams that have measured the route
+  };
+
+  const service_view& view_of(std::string_view service) const;
+  // Like `view_of`, with latencies that are at most `summary_period` old.
+  const service_view& summary_of(std::string_view service, time_point now) const;
+  void build_subset(service_view& view) const;
+  // Returns this daemon's position among the daemons of its domain, ordered by hash, and their
+  // number.
+  std::pair<std::size_t, std::size_t> ring_position() const;
+  bool is_eligible(const host_entry& item, const upstream_query& query,
+                   const std::set<std::string>& excluded_domains, time_point now) const;
   // `typical` is the latency assumed for an upstream that has not measured the route.
   double risk_of(const peer& candidate, const upstream_query& query, duration typical,
                  time_point now) const;
   // Returns the mean latency of the route over the upstreams that have measured it; if none has,
   // that of the service, or a default.
-  duration typical_latency(const upstream_query& query) const;
+  duration typical_latency(const upstream_query& query, time_point now) const;
   bool is_live(const peer& candidate, time_point now) const;
 
   std::string local_domain_;
   std::string local_host_;
   std::map<std::string, peer> peers_; // by host
+  std::uint64_t generation_ = 1;      // incremented when members or their state change
+  std::uint64_t newest_log_end_ = 0;  // highest `operator_log_end` that was ever reported
+  time_point expired_removed_at_{};
+  // Caches of what follows from `peers_`.
+  mutable std::map<std::string, service_view, std::less<>> views_;
+  mutable std::optional<std::size_t> live_count_;
+  mutable time_point live_counted_at_{};
 };
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -242,7 +242,7 @@
     return false;
   }
   const duration left = pending.deadline - shared_.now;
-  const duration needed = shared_.directory.mean_latency(pending.service);
+  const duration needed = shared_.directory.mean_latency(pending.service, shared_.now);
   return pending.attempts < max_attempts &&
          pending.upstreams_reached < pending.route->max_upstreams && left > needed;
 }
@@ -369,7 +369,7 @@
       pending.upstreams_reached + 1 >= pending.route->max_upstreams) {
     return false;
   }
-  const duration mean = shared_.directory.mean_latency(pending.service);
+  const duration mean = shared_.directory.mean_latency(pending.service, shared_.now);
   const duration overdue_after =
       std::max<duration>(pending.route->target_latency, mean * overdue_latency_multiple);
   const auto budget = budgets_.find(pending.service);
