A departure that the store refuses is submitted with backoff, and a restored one not again

Change: the delay doubles from 200 ms to 3.2 s; a departure taken over from the store counts as recorded, unless this process has a later one.

--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -162,3 +162,49 @@
   cr_assert(cancelled != nullptr);
   cr_assert_eq(cancelled->attempt, peer_request->attempt);
 }
+
+// A store that refuses records is offered a departure less and less often: while it turned away the
+// daemons of 70 leaving upstreams, each of them submitted its record five times a second.
+Test(gate, a_departure_that_the_store_refuses_is_submitted_less_and_less_often) {
+  tested_daemon one;
+  gateway::heartbeat leaving = heartbeat();
+  leaving.sequence = 2;
+  leaving.state = gateway::upstream_lifecycle::draining;
+  std::vector<gateway::action> actions =
+      one.core.handle(gateway::heartbeat_received{2, leaving}, start);
+  int submitted = 0;
+  for (std::chrono::milliseconds elapsed{0}; elapsed <= 8s; elapsed += 20ms) {
+    if (const gateway::record_departure* action = find<gateway::record_departure>(actions)) {
+      ++submitted;
+      one.core.handle(gateway::departure_recorded{action->departed, false}, start + elapsed);
+    }
+    actions = one.core.handle(gateway::tick{}, start + elapsed);
+  }
+  cr_assert(submitted >= 4, "%d", submitted);
+  cr_assert(submitted <= 8, "%d", submitted);
+}
+
+Test(gate, a_restored_departure_is_not_recorded_again) {
+  gateway::gateway_core core(settings(), 1, start);
+  gateway::peers_discovered found;
+  found.departed = gateway::upstream_incarnation{"i-0", 4};
+  core.handle(found, start);
+  for (int i = 1; i <= 50; ++i) {
+    cr_assert(find<gateway::record_departure>(core.handle(gateway::tick{}, start + i * 20ms)) ==
+              nullptr);
+  }
+}
+
+Test(gate, a_departure_is_recorded_although_an_earlier_one_is_read_from_the_store) {
+  tested_daemon one;
+  gateway::heartbeat leaving = heartbeat();
+  leaving.sequence = 2;
+  leaving.state = gateway::upstream_lifecycle::draining;
+  one.core.handle(gateway::heartbeat_received{2, leaving}, start);
+  gateway::peers_discovered found;
+  found.departed = gateway::upstream_incarnation{"i-0", 4};
+  one.core.handle(found, start + 10ms);
+  one.core.handle(gateway::departure_recorded{{instance, 5}, false}, start + 20ms);
+  cr_assert(find<gateway::record_departure>(one.core.handle(gateway::tick{}, start + 300ms)) !=
+            nullptr);
+}
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -25,7 +25,9 @@
 // A departure is acknowledged after this time even if it is not recorded: the upstream repeats its
 // message elsewhere after a second without an acknowledgement.
 constexpr std::chrono::milliseconds departure_record_timeout{700};
-constexpr std::chrono::milliseconds departure_record_retry_delay{200};
+// Delay before a departure is submitted again; it doubles with each refusal in a row.
+constexpr std::chrono::milliseconds first_departure_retry_delay{200};
+constexpr std::chrono::milliseconds max_departure_retry_delay{3200};
 constexpr double permille = 1000.0;
 
 bool is_server_error(const run_result& result) {
@@ -35,7 +37,7 @@
 } // namespace
 
 upstream_gate::upstream_gate(gateway_context& shared, const rollout_conductor& rollouts)
-    : shared_(shared), rollouts_(rollouts) {}
+    : shared_(shared), rollouts_(rollouts), departure_retry_delay_(first_departure_retry_delay) {}
 
 // --- admission ---
 
@@ -349,6 +351,7 @@
   if (departure_tokens_.empty()) {
     departure_started_ = shared_.now;
     next_departure_record_ = shared_.now;
+    departure_retry_delay_ = first_departure_retry_delay;
   }
   departure_tokens_.push_back(token);
   advance_departure();
@@ -371,9 +374,15 @@
   }
 }
 
+void upstream_gate::on_departure_restored() {
+  is_departure_recorded_ = true;
+}
+
 void upstream_gate::on_departure_recorded(const departure_recorded& value) {
   is_recording_departure_ = false;
-  next_departure_record_ = shared_.now + departure_record_retry_delay;
+  next_departure_record_ = shared_.now + departure_retry_delay_;
+  departure_retry_delay_ =
+      std::min<duration>(2 * departure_retry_delay_, max_departure_retry_delay);
   const std::optional<upstream_incarnation>& departed = shared_.registry.departed();
   is_departure_recorded_ = value.is_recorded && departed &&
                            departed->instance_id == value.departed.instance_id &&
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -37,6 +37,8 @@
   void on_heartbeat(const heartbeat_received& value);
   void on_deregistration(const deregistration_received& value);
   void on_departure_recorded(const departure_recorded& value);
+  // The registry has taken over the departure that an earlier process recorded.
+  void on_departure_restored();
   // The operator records have changed.
   void on_operator_records();
   void on_tick();
@@ -96,6 +98,7 @@
   std::vector<std::uint64_t> departure_tokens_; // heartbeats and deregistrations to acknowledge
   time_point departure_started_{};
   time_point next_departure_record_{};
+  duration departure_retry_delay_{};
   bool is_recording_departure_ = false;
   bool is_departure_recorded_ = false;
   double failed_share_ = 0; // moving average of failed requests, 0 to 1
--- a/src/arbutuslb/core/gateway/upstream_registry.cc
+++ b/src/arbutuslb/core/gateway/upstream_registry.cc
@@ -91,9 +91,9 @@
   return is_registered;
 }
 
-void upstream_registry::restore_departure(const upstream_incarnation& departed, time_point now) {
+bool upstream_registry::restore_departure(const upstream_incarnation& departed, time_point now) {
   if (departed_) {
-    return; // this process has recorded a later departure
+    return false;
   }
   set_departure(departed, now);
   const bool is_registered =
@@ -102,6 +102,7 @@
   if (is_registered) {
     upstream_->state = upstream_lifecycle::gone;
   }
+  return true;
 }
 
 void upstream_registry::assume_cold(time_point until) {
--- a/src/arbutuslb/core/gateway/upstream_registry.h
+++ b/src/arbutuslb/core/gateway/upstream_registry.h
@@ -63,8 +63,8 @@
   // registered one.
   bool on_deregistration(const std::string& instance_id, time_point now);
   // Restores a departure that an earlier process of this daemon has recorded. Has no effect if this
-  // process has already recorded or restored one.
-  void restore_departure(const upstream_incarnation& departed, time_point now);
+  // process has already recorded or restored one; returns false then.
+  bool restore_departure(const upstream_incarnation& departed, time_point now);
   // Returns the upstream that departed last; nothing if none has.
   const std::optional<upstream_incarnation>& departed() const noexcept { return departed_; }
   // Makes the upstream unusable until `until`; a later call replaces the time.
