The gate learns how much room an upstream has that falls silent

The gate trusted the stated slots: with less room than stated (requests of an earlier process, requests that were cancelled and run on) every request beyond it waits for its whole deadline and ends with an unknown outcome. Change: `slot_limit`, a decision of its own, lowers the limit when a request got no answer although one started later did, and none was lately answered beside as many others; it is raised by one after 2 s, doubling to 32 s. The HTTP client says whether an answer was late or the connection broke. Log line `limit_lowered`.

--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -42,6 +42,7 @@
   std::uint64_t attempt = 0;
   run_result result;
   bool is_unreachable = false; // no connection could be established
+  bool is_silent = false;      // no answer came in time; the connection did not break
 };
 struct heartbeat_received {
   std::uint64_t token = 0;
--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -451,6 +451,44 @@
   cr_assert_not((fixture.fleet.runs.contains("attempt-" + std::to_string(token))));
 }
 
+// An upstream with less room than it states never answers the requests that it cannot take.
+Test(gateway, an_upstream_that_ignores_requests_beyond_its_room_is_offered_no_more) {
+  mesh_fixture fixture;
+  for (const std::size_t at : orders_daemons) {
+    fixture.fleet.upstream(at).mute_above = 3; // states 8 slots
+    fixture.fleet.upstream(at).work = 100ms;
+  }
+  const auto play = [&fixture](int steps) {
+    std::vector<std::uint64_t> tokens;
+    for (int i = 0; i < steps; ++i) { // 200 requests per second, there is room for 120
+      for (std::size_t caller = i % 2; caller < 8; caller += 2) {
+        tokens.push_back(fixture.fleet.call(caller, "shop.example", "/orders/1", false));
+      }
+      fixture.fleet.run_for(20ms);
+    }
+    return tokens;
+  };
+  play(150); // learns
+  fixture.fleet.run_for(2s);
+  const std::size_t ignored_before = fixture.fleet.unanswered.size();
+  const std::vector<std::uint64_t> tokens = play(250);
+  fixture.fleet.run_for(2s);
+  const std::size_t ignored = fixture.fleet.unanswered.size() - ignored_before;
+  cr_assert(ignored * 50 < tokens.size(), "%zu of %zu ignored", ignored, tokens.size());
+  std::size_t served = 0;
+  for (const std::uint64_t token : tokens) {
+    const std::string attempt = "attempt-" + std::to_string(token);
+    const int status = fixture.fleet.answers[token].status;
+    served += status == status_ok ? 1 : 0;
+    cr_assert_not(fixture.fleet.unanswered.contains(attempt) && status == status_unavailable,
+                  "a request that an upstream may have executed is reported as not executed");
+  }
+  for (const auto& [attempt, count] : fixture.fleet.runs) {
+    cr_assert_eq(count, 1);
+  }
+  cr_assert(served * 10 >= tokens.size() * 5, "%zu of %zu served", served, tokens.size());
+}
+
 namespace {
 
 // One domain of a large fleet: 48 daemons whose callers use the 20 upstreams of `menu`.
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -12,6 +12,9 @@
 constexpr double latency_weight = 0.1;
 constexpr double failure_weight = 0.05;
 constexpr double in_flight_weight = 0.05;
+// A cancelled request that took longer than this multiple of its route's mean latency counts as not
+// answered.
+constexpr int silence_latency_multiple = 4;
 // A request that cannot meet its target latency may still wait this long for a slot.
 constexpr std::chrono::milliseconds min_useful_wait{100};
 // Minimum retry-after time of a refusal.
@@ -118,7 +121,8 @@
   if (!upstream) {
     return;
   }
-  queue_.set_limit(upstream->slots);
+  limit_.set_stated(upstream->slots);
+  queue_.set_limit(limit_.value());
   queue_.set_rate(cold_rate());
 }
 
@@ -200,9 +204,13 @@
     shared_.write(engine::severity::warning, "upstream_unreachable",
                   {{"instance", ended.request.instance_id}});
   }
+  if (end.is_silent) {
+    record_silence(ended);
+  }
   if (!is_answer) {
     return;
   }
+  limit_.on_answer(ended.started, shared_.now);
   shared_.registry.on_response(shared_.now);
   const double sample = static_cast<double>(latency.count());
   const auto [mean, is_first] = route_means_.try_emplace(ended.request.route, sample);
@@ -214,6 +222,19 @@
   }
 }
 
+void upstream_gate::record_silence(const execution& ended) {
+  const int before = limit_.value();
+  limit_.on_silence(ended.started, shared_.now);
+  if (limit_.value() < before) {
+    shared_.write(engine::severity::warning, "limit_lowered",
+                  {{"instance", ended.request.instance_id},
+                   {"id", ended.request.content.attempt_id},
+                   {"from", std::to_string(before)},
+                   {"to", std::to_string(limit_.value())},
+                   {"silent_ms", std::to_string(to_milliseconds(shared_.now - ended.started))}});
+  }
+}
+
 void upstream_gate::reply(const execution& ended, run_result result) {
   result.in_flight = queue_.in_flight();
   result.waiting = static_cast<int>(queue_.waiting());
@@ -279,6 +300,9 @@
     return;
   }
   shared_.add_action(cancel_attempt{value.attempt});
+  if (shared_.now - value.started >= silence_latency_multiple * route_mean(value.request.route)) {
+    record_silence(value);
+  }
   tokens_by_attempt_.erase(value.attempt);
   executions_.erase(token);
   queue_.release(std::nullopt);
@@ -323,6 +347,7 @@
   if (is_new) {
     failed_share_ = 0;
     route_means_.clear();
+    limit_.reset();
   }
   if (upstream.state != upstream_lifecycle::ready) {
     refuse_queued("upstream is leaving");
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -1,7 +1,8 @@
 // Final admission control for the local upstream: every request to it passes through the gate.
 //
 // The gate enforces these rules without agreement with other daemons:
-// - The upstream has at most as many requests in flight as it has slots.
+// - The upstream has at most as many requests in flight as it has slots, or fewer if it has fallen
+//   silent beside that many (slot_limit.h).
 // - A cold upstream receives requests at no more than its rate limit.
 // - A request is accepted only if the upstream is the instance that the request was sent to.
 // - No request is accepted without a configuration, while the daemon is stopping, after the
@@ -12,6 +13,7 @@
 #include "arbutuslb/core/gateway/gateway_context.h"
 #include "arbutuslb/core/gateway/rollout_conductor.h"
 #include "arbutuslb/core/gateway/run_queue.h"
+#include "arbutuslb/core/gateway/slot_limit.h"
 
 namespace arbutuslb::core::gateway {
 
@@ -79,6 +81,8 @@
   void advance_departure();
   void send_acknowledgements(const std::string& reason);
   void record_completion(const execution& ended, const attempt_completed& end);
+  // Takes note of a request that the upstream has not answered.
+  void record_silence(const execution& ended);
   void update_limits();
   // Returns the rate limit of the upstream in requests per second; zero if there is none, because
   // the upstream is not cold or its service is not configured.
@@ -88,6 +92,7 @@
   gateway_context& shared_;
   const rollout_conductor& rollouts_;
   run_queue queue_;
+  slot_limit limit_;
   std::map<std::uint64_t, execution> executions_; // by token
   std::map<std::uint64_t, std::uint64_t> tokens_by_attempt_;
   std::map<std::uint64_t, std::uint64_t> tokens_by_peer_;  // by the token of the peer's request
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -308,6 +308,18 @@
     after(upstream_delay, [this, index, completion] { handle(index, completion); });
     return;
   }
+  if (upstream.mute_above > 0 &&
+      running_now[index] >= static_cast<std::size_t>(upstream.mute_above)) {
+    unanswered.insert(action.request.content.attempt_id);
+    completion.is_silent = true;
+    completion.result.reason = "upstream sent no answer in time";
+    after(action.request.time_left, [this, index, completion, attempt] {
+      if (!cancelled_.contains({index, attempt})) {
+        handle(index, completion);
+      }
+    });
+    return;
+  }
   ++runs[action.request.content.attempt_id];
   run_versions[action.request.content.attempt_id] = upstream.version;
   most_running[index] = std::max(most_running[index], ++running_now[index]);
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -26,6 +26,7 @@
   bool is_down = false;       // refuses connections and sends no heartbeats
   bool loses_answers = false; // executes requests, but the answer is lost
   bool sheds = false;         // refuses requests without executing them
+  int mute_above = 0;         // never answers a request beyond this many in flight; 0: no limit
   core::duration cold_for{};  // remaining cold time, reported in heartbeats
   bool is_draining = false;
 };
@@ -64,6 +65,7 @@
 
   std::map<std::uint64_t, core::http_response> answers; // by token
   std::set<std::uint64_t> acknowledged;                 // tokens of heartbeats
+  std::set<std::string> unanswered;                     // attempt ids that an upstream ignored
   std::map<std::string, int> runs;                   // executions by attempt id, at all upstreams
   std::map<std::string, std::string> run_versions;   // executing version, by attempt id
   std::vector<std::size_t> running_now;              // current executions, by daemon
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -257,7 +257,9 @@
     case http::exchange_outcome::broken:
       completed.result.outcome = gateway::run_outcome::unknown;
       completed.result.reached_upstream = true;
-      completed.result.reason = "connection to the upstream broke";
+      completed.result.reason = exchange.is_timeout ? "upstream sent no answer in time"
+                                                    : "connection to the upstream broke";
+      completed.is_silent = exchange.is_timeout;
       break;
     case http::exchange_outcome::answered:
       completed.result = platform::decode_answer(std::move(exchange.answer));
--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -86,11 +86,11 @@
     socket_.close(ignored);
   }
 
-  void fail() {
+  void fail(bool is_timeout = false) {
     const exchange_outcome outcome =
         has_sent_ ? exchange_outcome::broken : exchange_outcome::not_connected;
     close();
-    finish({outcome, {}});
+    finish({outcome, {}, is_timeout && has_sent_});
   }
 
 private:
@@ -211,7 +211,7 @@
     } else {
       close();
     }
-    finish({exchange_outcome::answered, std::move(answer)});
+    finish({exchange_outcome::answered, std::move(answer), false});
   }
 
   void add_to_idle() {
@@ -318,7 +318,7 @@
     }
   }
   for (const std::shared_ptr<connection>& item : overdue) {
-    item->fail();
+    item->fail(true);
   }
   for (auto& [address, items] : state_->idle) {
     std::erase_if(items, [](const std::shared_ptr<connection>& item) {
--- a/src/arbutuslb/runtime/http/client.h
+++ b/src/arbutuslb/runtime/http/client.h
@@ -30,6 +30,7 @@
 struct exchange_result {
   exchange_outcome outcome = exchange_outcome::broken;
   core::http_response answer; // empty unless `answered`
+  bool is_timeout = false;    // `broken` because of `answer_timeout`
 };
 
 struct send_options {
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -319,3 +319,36 @@
   cr_assert(end->outcome == exchange_outcome::answered);
   cr_assert_eq(end->answer.body, "right");
 }
+
+// A server that has no room may never answer a request, nor any later one on that connection.
+Test(client, a_silent_connection_is_given_up_and_the_others_go_on) {
+  server_fixture fixture;
+  client sender(fixture.loop);
+  core::http_request request;
+  request.method = "GET";
+  request.target = "/silent";
+  request.headers.emplace_back("Host", "x");
+  send_options impatient;
+  impatient.answer_timeout = 1us;
+  std::optional<exchange_result> silent;
+  std::optional<exchange_result> other;
+  sender.send(fixture.address, request, impatient,
+              [&](exchange_result end) { silent = std::move(end); });
+  fixture.run_until([&] { return fixture.requests.size() == 1; });
+  request.target = "/other";
+  sender.send(fixture.address, request, {}, [&](exchange_result end) { other = std::move(end); });
+  fixture.run_until([&] { return fixture.requests.size() == 2; });
+  sender.sweep({});
+  cr_assert(silent.has_value());
+  cr_assert(silent->outcome == exchange_outcome::broken);
+  cr_assert(silent->is_timeout);
+  cr_assert_not((other.has_value()));
+  fixture.http_server.respond(fixture.requests[1].first, fixture.response("yes"));
+  fixture.run_until([&] { return other.has_value(); });
+  cr_assert_eq(other->answer.body, "yes");
+  // The next request goes on the connection that was answered, not on the silent one.
+  std::optional<exchange_result> next;
+  sender.send(fixture.address, request, {}, [&](exchange_result end) { next = std::move(end); });
+  fixture.run_until([&] { return fixture.requests.size() == 3; });
+  cr_assert_eq(sender.connections_opened(), 2);
+}
