Bundles between domains repeat only what has changed

Cause: after the choice of an upstream the reports are what a daemon spends its control time on: at 295 daemons each receives all reports of all other domains twice a second. Change: `bundle_planner`, a decision of its own: a report goes in full when the state that selection and roles depend on changes (twice in a row), when its load changes by half of the limit, and in turn every fourth bundle; otherwise the daemon is mentioned as present. Negative ages are refused as malformed. A contact knows its domain, and expired contacts are looked for once a second, not each tick. Not done: reports inside a domain still go from each to each.

--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -61,7 +61,7 @@
 // Reports received in one datagram; they may describe other daemons than the sender.
 struct reports_received {
   std::string from; // address of the sending daemon
-  std::vector<aged_report> reports;
+  report_bundle content;
 };
 // The result of the last request to the store: whether the store answered.
 struct store_reachability_changed {
@@ -137,7 +137,7 @@
 };
 struct send_reports {
   std::string host;
-  std::vector<aged_report> reports;
+  report_bundle content;
 };
 // Starts or stops following the operators' log.
 struct follow_operator_log {
--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -143,7 +143,7 @@
   peer.instance_id = "i-2";
   peer.is_usable = true;
   peer.limit = 4;
-  one.core.handle(gateway::reports_received{"10.0.0.2", {{peer, {}}}}, start);
+  one.core.handle(gateway::reports_received{"10.0.0.2", {{{peer, {}}}, {}}}, start);
   gateway::heartbeat leaving = heartbeat();
   leaving.sequence = 2;
   leaving.state = gateway::upstream_lifecycle::draining; // so that the peer is selected
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -12,12 +12,14 @@
 constexpr std::size_t representatives_per_domain = 2;
 constexpr std::chrono::milliseconds bundle_period{1000};
 constexpr std::size_t reports_per_datagram = 10;
+constexpr std::size_t presences_per_datagram = 60;
 // A peer in another domain is sent direct reports while no report of it has been received for this
 // long.
 constexpr std::chrono::milliseconds remote_contact_timeout{3000};
 constexpr std::chrono::milliseconds remote_report_period{2000};
 // A contact without a report for this long is removed.
 constexpr std::chrono::seconds contact_retention{60};
+constexpr std::chrono::seconds contact_expiry_period{1};
 // Ticks update this daemon's entry in the directory at most this often.
 constexpr std::chrono::milliseconds directory_update_period{100};
 constexpr std::chrono::milliseconds evidence_period{250};
@@ -48,6 +50,22 @@
 // The daemon exits at the latest this long before the end of the grace period.
 constexpr std::chrono::milliseconds stopping_reserve{700};
 
+// Splits a bundle into parts that fit into a datagram each.
+std::vector<report_bundle> split(const report_bundle& bundle) {
+  std::vector<report_bundle> parts;
+  const auto part_at = [&parts](std::size_t index) -> report_bundle& {
+    parts.resize(std::max(parts.size(), index + 1));
+    return parts[index];
+  };
+  for (std::size_t i = 0; i < bundle.reports.size(); ++i) {
+    part_at(i / reports_per_datagram).reports.push_back(bundle.reports[i]);
+  }
+  for (std::size_t i = 0; i < bundle.presences.size(); ++i) {
+    part_at(i / presences_per_datagram).presences.push_back(bundle.presences[i]);
+  }
+  return parts;
+}
+
 } // namespace
 
 struct gateway_core::event_handler {
@@ -249,7 +267,7 @@
   peer_report report = build_report();
   report.reply_requested = reply_requested;
   ++shared_.totals.reports_sent;
-  shared_.add_action(send_reports{host, {{std::move(report), {}}}});
+  shared_.add_action(send_reports{host, {{{std::move(report), {}}}, {}}});
 }
 
 bool gateway_core::is_in_local_domain(const std::string& host) const {
@@ -264,26 +282,27 @@
   const peer_report report = build_report();
   shared_.directory.merge(report, shared_.now);
   for (auto& [host, entry] : contacts_) {
-    if (includes_remote || is_in_local_domain(host)) {
+    if (includes_remote || entry.is_local) {
       ++shared_.totals.reports_sent;
-      shared_.add_action(send_reports{host, {{report, {}}}});
+      shared_.add_action(send_reports{host, {{{report, {}}}, {}}});
     }
   }
 }
 
 void gateway_core::send_due_reports() {
-  const auto is_expired = [&](const auto& item) {
-    return shared_.now - item.second.last_contact > contact_retention;
-  };
-  std::erase_if(contacts_, is_expired);
+  if (shared_.now >= next_contact_expiry_) {
+    next_contact_expiry_ = shared_.now + contact_expiry_period;
+    std::erase_if(contacts_, [&](const auto& item) {
+      return shared_.now - item.second.last_contact > contact_retention;
+    });
+  }
   for (auto& [host, entry] : contacts_) {
     if (shared_.now < entry.next_report) {
       continue;
     }
-    const bool is_local = is_in_local_domain(host);
-    const duration period = is_local ? local_report_period : remote_report_period;
+    const duration period = entry.is_local ? local_report_period : remote_report_period;
     entry.next_report = shared_.now + period * 3 / 4 + shared_.random.jitter(period / 2);
-    if (is_local || shared_.now - entry.last_contact >= remote_contact_timeout) {
+    if (entry.is_local || shared_.now - entry.last_contact >= remote_contact_timeout) {
       send_report(host, false);
     }
   }
@@ -306,7 +325,7 @@
       rollouts_.on_report(report);
     } else {
       ++shared_.totals.reports_sent;
-      shared_.add_action(send_reports{host, {{report, {}}}});
+      shared_.add_action(send_reports{host, {{{report, {}}}, {}}});
     }
   }
 }
@@ -322,7 +341,8 @@
       representatives.end()) {
     return;
   }
-  const std::vector<aged_report> reports = shared_.directory.domain_reports(shared_.now);
+  const report_bundle bundle = bundle_planner_.plan(shared_.directory.domain_reports(shared_.now));
+  const std::vector<report_bundle> datagrams = split(bundle);
   ++bundles_sent_;
   for (const std::string& domain : shared_.directory.other_domains()) {
     const std::vector<std::string> receivers =
@@ -331,32 +351,44 @@
       continue;
     }
     const std::string& host = receivers[bundles_sent_ % receivers.size()];
-    for (std::size_t first = 0; first < reports.size(); first += reports_per_datagram) {
-      const std::size_t last = std::min(reports.size(), first + reports_per_datagram);
+    for (const report_bundle& datagram : datagrams) {
       ++shared_.totals.reports_sent;
-      shared_.add_action(send_reports{host,
-                                      {reports.begin() + static_cast<std::ptrdiff_t>(first),
-                                       reports.begin() + static_cast<std::ptrdiff_t>(last)}});
+      shared_.add_action(send_reports{host, datagram});
     }
   }
 }
 
-void gateway_core::forward_to_domain(const std::vector<aged_report>& reports) {
+void gateway_core::forward_to_domain(const report_bundle& bundle) {
   for (const auto& [host, entry] : contacts_) {
-    if (is_in_local_domain(host)) {
+    if (entry.is_local) {
       ++shared_.totals.reports_sent;
-      shared_.add_action(send_reports{host, reports});
+      shared_.add_action(send_reports{host, bundle});
     }
   }
 }
 
 void gateway_core::on_reports(const reports_received& value) {
-  for (const aged_report& item : value.reports) {
+  const report_bundle& content = value.content;
+  for (const aged_report& item : content.reports) {
     on_report(item);
   }
-  const bool is_bundle = !value.reports.empty() && value.reports.front().age > duration::zero();
+  for (const peer_presence& item : content.presences) {
+    on_presence(item);
+  }
+  const bool is_bundle =
+      !content.presences.empty() ||
+      (!content.reports.empty() && content.reports.front().age > duration::zero());
   if (is_bundle && !is_in_local_domain(value.from)) {
-    forward_to_domain(value.reports);
+    forward_to_domain(content);
+  }
+}
+
+void gateway_core::on_presence(const peer_presence& presence) {
+  const std::map<std::string, contact>::iterator found = contacts_.find(presence.host);
+  if (found != contacts_.end()) {
+    const time_point last_contact = shared_.now - presence.age;
+    found->second.last_contact = std::max(found->second.last_contact, last_contact);
+    shared_.directory.on_contact(presence.host, last_contact);
   }
 }
 
@@ -369,6 +401,7 @@
   const time_point last_contact = shared_.now - aged.age;
   contact& entry = contacts_[report.host];
   entry.last_contact = std::max(entry.last_contact, last_contact);
+  entry.is_local = report.domain == shared_.settings.domain;
   const peer_directory::merge_result merged = shared_.directory.merge(report, last_contact);
   if (merged.is_changed) {
     shared_.write(engine::severity::info, "peer_changed",
@@ -399,7 +432,7 @@
     if (host == shared_.settings.host || contacts_.contains(host)) {
       continue;
     }
-    contacts_[host] = {shared_.now, shared_.now + remote_report_period};
+    contacts_[host] = {shared_.now, shared_.now + remote_report_period, false};
     send_report(host, true);
   }
 }
--- a/src/arbutuslb/core/gateway/gateway_core.h
+++ b/src/arbutuslb/core/gateway/gateway_core.h
@@ -9,6 +9,7 @@
 //   for (const action& item : core.handle(tick{}, now)) { ... }
 #pragma once
 
+#include "arbutuslb/core/gateway/bundle_planner.h"
 #include "arbutuslb/core/gateway/request_router.h"
 #include "arbutuslb/core/gateway/upstream_gate.h"
 
@@ -38,6 +39,7 @@
   struct contact {
     time_point last_contact{}; // time of its newest report, or of its discovery
     time_point next_report{};
+    bool is_local = false; // in the local failure domain
   };
 
   void on_tick();
@@ -62,7 +64,8 @@
   // Sends the reports of the local failure domain to one representative of each other domain.
   void send_domain_bundle();
   // Sends the reports of another domain's bundle to the peers in the local failure domain.
-  void forward_to_domain(const std::vector<aged_report>& reports);
+  void forward_to_domain(const report_bundle& bundle);
+  void on_presence(const peer_presence& presence);
   bool is_in_local_domain(const std::string& host) const;
   // Starts or stops following the operators' log when the assignment of the role changes.
   void update_reader_role();
@@ -78,7 +81,9 @@
   time_point next_bundle_{};
   time_point next_evidence_{};
   time_point reader_role_updated_at_{};
+  bundle_planner bundle_planner_;
   std::uint64_t bundles_sent_ = 0;
+  time_point next_contact_expiry_{};
   bool is_reader_ = false;
   bool is_store_reachable_ = true;
   time_point store_unreachable_since_{};
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -79,6 +79,13 @@
   return {is_new, is_changed};
 }
 
+void peer_directory::on_contact(const std::string& host, time_point time) {
+  const std::map<std::string, peer>::iterator found = peers_.find(host);
+  if (found != peers_.end()) {
+    found->second.last_contact = std::max(found->second.last_contact, time);
+  }
+}
+
 void peer_directory::remove_expired(time_point now) {
   if (now - expired_removed_at_ < expiry_check_period) {
     return;
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -56,6 +56,8 @@
   };
   // Stores a report received at `now`. Ignores a report that is not newer than the stored one.
   merge_result merge(const peer_report& report, time_point now);
+  // A daemon that is known already was in contact at `time`.
+  void on_contact(const std::string& host, time_point time);
   // Removes peers without contact for `peer_retention`, unless requests to them are in flight.
   void remove_expired(time_point now);
 
--- a/src/arbutuslb/core/gateway/peer_report.h
+++ b/src/arbutuslb/core/gateway/peer_report.h
@@ -66,4 +66,16 @@
   duration age{};
 };
 
+// States that a daemon was in contact `age` ago, without repeating its report.
+struct peer_presence {
+  std::string host;
+  duration age{};
+};
+
+// The content of one datagram.
+struct report_bundle {
+  std::vector<aged_report> reports;
+  std::vector<peer_presence> presences;
+};
+
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -106,7 +106,7 @@
     if (fleet_ref.is_cut(index, target) || fleet_ref.exited.contains(target)) {
       return;
     }
-    gateway::reports_received received{fleet_ref.nodes_[index].settings.host, action.reports};
+    gateway::reports_received received{fleet_ref.nodes_[index].settings.host, action.content};
     fleet_ref.after(is_cross_domain ? cross_domain_delay : default_delay,
                     [&fleet_ref, target, received] { fleet_ref.handle(target, received); });
   }
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -169,11 +169,21 @@
   gateway::peer_report report;
   report.host = "10.0.0.7";
   report.process_epoch = 9;
-  const auto direct = wire::decode_reports(wire::encode({{report, {}}}), "10.0.0.8");
+  const auto direct =
+      wire::decode_reports(wire::encode(gateway::report_bundle{{{report, {}}}, {}}), "10.0.0.8")
+          .reports;
   cr_assert_eq(direct[0].content.host, "10.0.0.8");
-  const auto relayed = wire::decode_reports(wire::encode({{report, 1ms}}), "10.0.0.8");
+  const auto relayed =
+      wire::decode_reports(wire::encode(gateway::report_bundle{{{report, 1ms}}, {}}), "10.0.0.8")
+          .reports;
   cr_assert_eq(relayed[0].content.host, "10.0.0.7");
-  for (const std::string& bytes : {std::string("\xff\xff\xff"), std::string()}) {
+  const gateway::report_bundle mentioned = wire::decode_reports(
+      wire::encode(gateway::report_bundle{{}, {{"10.0.0.9", 7ms}}}), "10.0.0.8");
+  cr_assert_eq(mentioned.presences.at(0).host, "10.0.0.9");
+  cr_assert(mentioned.presences.at(0).age == 7ms);
+  const std::string from_the_future =
+      wire::encode(gateway::report_bundle{{}, {{"10.0.0.9", -7ms}}});
+  for (const std::string& bytes : {std::string("\xff\xff\xff"), std::string(), from_the_future}) {
     cr_assert_throw(wire::decode_reports(bytes, "10.0.0.8"), wire::codec_error);
   }
 }
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -450,7 +450,7 @@
   // --- reports ---
 
   void send_reports(const gateway::send_reports& action) {
-    const std::string bytes = wire::encode(action.reports);
+    const std::string bytes = wire::encode(action.content);
     const udp::endpoint to(asio::ip::make_address_v4(action.host), settings.report_port);
     std::error_code ignored; // a report may be lost; the next one replaces it
     reports.send_to(asio::buffer(bytes), to, 0, ignored);
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -199,25 +199,39 @@
 
 } // namespace
 
-std::string encode(const std::vector<gateway::aged_report>& reports) {
+std::string encode(const gateway::report_bundle& bundle) {
   ReportBundle out;
   out.set_protocol(protocol_version);
-  for (const gateway::aged_report& item : reports) {
+  for (const gateway::aged_report& item : bundle.reports) {
     to_proto(item, *out.add_reports());
   }
+  for (const gateway::peer_presence& item : bundle.presences) {
+    Presence& converted = *out.add_presences();
+    converted.set_host(item.host);
+    converted.set_age(item.age.count());
+  }
   return out.SerializeAsString();
 }
 
-std::vector<gateway::aged_report> decode_reports(std::string_view bytes, const std::string& host) {
+gateway::report_bundle decode_reports(std::string_view bytes, const std::string& host) {
   const ReportBundle in = parse<ReportBundle>(bytes);
   if (in.protocol() != protocol_version) {
     throw codec_error("unsupported protocol version");
   }
-  std::vector<gateway::aged_report> reports;
+  gateway::report_bundle bundle;
+  const auto age_of = [](const auto& item) {
+    if (item.age() < 0) {
+      throw codec_error("age out of range");
+    }
+    return core::duration{item.age()};
+  };
   for (const GatewayReport& item : in.reports()) {
-    reports.push_back({report_from_proto(item, host), core::duration{item.age()}});
+    bundle.reports.push_back({report_from_proto(item, host), age_of(item)});
+  }
+  for (const Presence& item : in.presences()) {
+    bundle.presences.push_back({item.host(), age_of(item)});
   }
-  return reports;
+  return bundle;
 }
 
 std::string encode(const operator_records_reply& value) {
--- a/src/arbutuslb/runtime/wire/gateway_codec.h
+++ b/src/arbutuslb/runtime/wire/gateway_codec.h
@@ -25,7 +25,7 @@
 
 std::string encode(const core::gateway::run_request& value);
 std::string encode(const core::gateway::run_result& value);
-std::string encode(const std::vector<core::gateway::aged_report>& reports);
+std::string encode(const core::gateway::report_bundle& bundle);
 std::string encode(const operator_records_reply& value);
 std::string encode_operator_records_request(std::uint64_t from_offset);
 std::string encode_departure(const core::gateway::upstream_incarnation& value);
@@ -35,8 +35,7 @@
 core::gateway::run_result decode_run_result(std::string_view bytes);
 // `host` is the address from which the bytes were received. It becomes the host of reports whose
 // host field is empty.
-std::vector<core::gateway::aged_report> decode_reports(std::string_view bytes,
-                                                       const std::string& host);
+core::gateway::report_bundle decode_reports(std::string_view bytes, const std::string& host);
 operator_records_reply decode_operator_records_reply(std::string_view bytes);
 std::uint64_t decode_operator_records_request(std::string_view bytes);
 core::gateway::upstream_incarnation decode_departure(std::string_view bytes);
