A signal during the start of a gateway no longer ends it

Change: the signals are blocked first of all and delivered once the handlers stand. Test: cli::a_reload_during_the_start_* and cli::a_stop_during_the_start_*, without timing (the settings file is a pipe that the process waits on): with the old binary exit codes 129 and 143, now the settings are read and reported. Not covered: the milliseconds between exec and main, in which no program has handlers.

--- a/src/arbutuslb/main/main.cc
+++ b/src/arbutuslb/main/main.cc
@@ -2,6 +2,7 @@
 
 #include "arbutuslb/main/ctl.h"
 #include "arbutuslb/runtime/daemon_host.h"
+#include "arbutuslb/runtime/deferred_signals.h"
 #include "arbutuslb/runtime/gateway_host.h"
 #include "arbutuslb/runtime/logging.h"
 
@@ -106,6 +107,7 @@
 }
 
 int run_gateway(int argc, char** argv) {
+  runtime::deferred_signals signals;
   int exit_code = 0;
   const std::optional<settings_arguments> arguments =
       read_arguments(argc, argv, gateway_usage, exit_code);
@@ -115,6 +117,7 @@
   return run_with_settings(*arguments, runtime::parse_gateway_settings,
                            [&](const runtime::gateway_host_settings& settings) {
                              runtime::gateway_host host(settings, arguments->path);
+                             signals.release();
                              host.run();
                            });
 }
