A live upstream outside the subset goes before stale ones inside

Peers without recent contact only got a high risk inside the sample, so a daemon whose whole subset had fallen silent (domains cut off or without power) kept to it while other upstreams of the service were in reach. Change: live peers of the subset, then live ones of the service, then the same two without contact.

--- a/src/arbutuslb/core/gateway/parts_test.cc
+++ b/src/arbutuslb/core/gateway/parts_test.cc
@@ -6,6 +6,7 @@
 #include "arbutuslb/core/gateway/upstream_registry.h"
 
 #include <criterion/criterion.h>
+#include <set>
 
 namespace {
 
@@ -114,6 +115,34 @@
   }
 }
 
+// The subset of this daemon may lie in domains that are cut off while the rest of the service is
+// in reach.
+Test(peer_directory, a_live_upstream_outside_the_subset_is_preferred_to_stale_ones_inside) {
+  constexpr std::size_t upstreams = 40;
+  peer_directory directory("a", "10.0.0.9");
+  arbutuslb::core::random_source random(1);
+  std::set<std::string> subset;
+  for (std::size_t i = 0; i < upstreams; ++i) {
+    peer_report report = make_report("10.0.1." + std::to_string(i));
+    report.domain = "b";
+    directory.merge(report, start);
+  }
+  for (int i = 0; i < 1000; ++i) {
+    subset.insert(*directory.choose(make_query(0), {}, start, random));
+  }
+  cr_assert_eq(subset.size(), remote_subset_size);
+  const time_point later = start + peer_staleness_limit;
+  for (std::size_t i = 0; i < upstreams; ++i) {
+    const std::string host = "10.0.1." + std::to_string(i);
+    if (!subset.contains(host)) {
+      directory.on_contact(host, later);
+    }
+  }
+  for (int i = 0; i < 100; ++i) {
+    cr_assert_not(subset.contains(*directory.choose(make_query(0), {}, later, random)));
+  }
+}
+
 Test(mesh_configuration, the_longest_prefix_wins) {
   mesh_configuration configuration;
   for (const char* prefix : {"/", "/a/", "/a/b/"}) {
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -19,7 +19,6 @@
 constexpr double safe_latency_fraction = 0.35;
 // Risk per permille of failed requests of the upstream.
 constexpr double failure_cost = 0.0015;
-constexpr double stale_cost = 10.0;
 // Maximum random term added to a risk: upstreams whose risks differ by less share the requests.
 constexpr double risk_jitter = 0.03;
 constexpr std::chrono::milliseconds first_unreachable_pause{300};
@@ -219,8 +218,8 @@
 
 // --- selection ---
 
-double peer_directory::risk_of(const peer& candidate, const upstream_query& query, duration typical,
-                               time_point now) const {
+double peer_directory::risk_of(const peer& candidate, const upstream_query& query,
+                               duration typical) const {
   const peer_report& report = candidate.report;
   const duration service_time = route_mean(report, query.route_hash).value_or(typical);
   const int unreported =
@@ -244,7 +243,6 @@
     risk += domain_crossing_cost +
             crossing_cost_per_kilobyte * static_cast<double>(query.size) / kilobyte;
   }
-  risk += is_live(candidate, now) ? 0.0 : stale_cost;
   return risk;
 }
 
@@ -253,10 +251,9 @@
                                  time_point now) const {
   const peer& candidate = item.second;
   const peer_report& report = candidate.report;
-  const bool is_possible =
-      report.is_usable && !report.is_stopping && !excluded_domains.contains(report.domain) &&
-      now >= candidate.excluded_until && (query.allows_stale || is_live(candidate, now)) &&
-      query.allows_version(report.version);
+  const bool is_possible = report.is_usable && !report.is_stopping &&
+                           !excluded_domains.contains(report.domain) &&
+                           now >= candidate.excluded_until && query.allows_version(report.version);
   if (!is_possible ||
       std::find(query.tried.begin(), query.tried.end(), item.first) != query.tried.end()) {
     return false;
@@ -271,15 +268,18 @@
   const service_view& view = summary_of(query.service, now);
   std::vector<const host_entry*> local;
   std::vector<const host_entry*> remote;
-  for (const std::vector<const host_entry*>* candidates : {&view.subset, &view.members}) {
-    for (const host_entry* item : *candidates) {
-      if (is_eligible(*item, query, excluded_domains, now)) {
+  const auto collect = [&](const std::vector<const host_entry*>& candidates, bool is_live_wanted) {
+    for (const host_entry* item : candidates) {
+      if (is_live(item->second, now) == is_live_wanted &&
+          is_eligible(*item, query, excluded_domains, now)) {
         (item->second.report.domain == local_domain_ ? local : remote).push_back(item);
       }
     }
-    if (!local.empty() || !remote.empty()) {
-      break;
-    }
+    return !local.empty() || !remote.empty();
+  };
+  const bool has_live = collect(view.subset, true) || collect(view.members, true);
+  if (!has_live && query.allows_stale && !collect(view.subset, false)) {
+    collect(view.members, false);
   }
   local = random.sample(std::move(local), local_sample_size);
   remote = random.sample(std::move(remote), remote_sample_size);
@@ -288,8 +288,7 @@
   double best_risk = 0;
   for (const std::vector<const host_entry*>* sample : {&local, &remote}) {
     for (const host_entry* item : *sample) {
-      const double risk =
-          risk_of(item->second, query, typical, now) + risk_jitter * random.fraction();
+      const double risk = risk_of(item->second, query, typical) + risk_jitter * random.fraction();
       if (best == nullptr || risk < best_risk) {
         best = item;
         best_risk = risk;
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -2,10 +2,10 @@
 //
 // The selection minimizes a risk score, the expected loss as a fraction of a request's value. It
 // sums the risk of a late answer (expected latency against the route's target latency), the risks
-// of a loaded upstream, of a failing one and of a peer without recent contact, and the cost of
-// traffic that leaves the failure domain. Each request is offered a random sample of the subset
-// that this daemon uses (upstream_subset.h): daemons that hold the same reports would otherwise all
-// select the same upstream until the next reports arrive.
+// of a loaded upstream and of a failing one, and the cost of traffic that leaves the failure
+// domain. Each request is offered a random sample of the subset that this daemon uses
+// (upstream_subset.h): daemons that hold the same reports would otherwise all select the same
+// upstream until the next reports arrive.
 //
 //   std::optional<std::string> host = directory.choose(query, now, random);
 #pragma once
@@ -22,8 +22,8 @@
 
 namespace arbutuslb::core::gateway {
 
-// A peer is live until it has sent no report or answer for this long. The risk score of a peer that
-// is not live is so high that the peer is normally selected only if there is no other.
+// A peer is live until it has sent no report or answer for this long. One that is not live is
+// selected only if there is no other.
 inline constexpr std::chrono::milliseconds peer_staleness_limit{2000};
 // A peer that has sent no report or answer for this long is removed.
 inline constexpr std::chrono::seconds peer_retention{30};
@@ -61,9 +61,10 @@
   // Removes peers without contact for `peer_retention`, unless requests to them are in flight.
   void remove_expired(time_point now);
 
-  // Returns the host with the lowest risk in a random sample of the eligible peers of the subset,
-  // or of the service if none in the subset is eligible. Returns nothing if no peer is eligible.
-  // Peers in `excluded_domains` are not eligible. O(subset) while the members are unchanged.
+  // Returns the host with the lowest risk in a random sample of the eligible live peers of the
+  // subset, or of the service if the subset has none. Peers that are not live are sampled only if
+  // no eligible one is. Returns nothing if no peer is eligible. Peers in `excluded_domains` are not
+  // eligible. O(subset) while the members are unchanged and one in the subset is eligible.
   std::optional<std::string> choose(const upstream_query& query,
                                     const std::set<std::string>& excluded_domains, time_point now,
                                     random_source& random);
@@ -142,8 +143,7 @@
   bool is_eligible(const host_entry& item, const upstream_query& query,
                    const std::set<std::string>& excluded_domains, time_point now) const;
   // `typical` is the latency assumed for an upstream that has not measured the route.
-  double risk_of(const peer& candidate, const upstream_query& query, duration typical,
-                 time_point now) const;
+  double risk_of(const peer& candidate, const upstream_query& query, duration typical) const;
   // Returns the mean latency of the route over the upstreams that have measured it; if none has,
   // that of the service, or a default.
   duration typical_latency(const upstream_query& query, time_point now) const;
