The gateway's load tests get a file and a fixture header of their own

Change: tests of spreading and limiting load move to gateway_load_test.cc, the mesh that both use to gateway_test_mesh.h; no test or check is changed. Two comments of slot_limit in plainer words.

--- /dev/null
+++ b/src/arbutuslb/core/gateway/gateway_load_test.cc
@@ -0,0 +1,120 @@
+// Tests of how the data path spreads and limits load, on a simulated fleet with a simulated clock.
+
+#include "arbutuslb/core/gateway/gateway_test_mesh.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <numeric>
+
+// An upstream with less room than it states never answers the requests that it cannot take.
+Test(gateway, an_upstream_that_ignores_requests_beyond_its_room_is_offered_no_more) {
+  mesh_fixture fixture;
+  for (const std::size_t at : orders_daemons) {
+    fixture.fleet.upstream(at).mute_above = 3; // states 8 slots
+    fixture.fleet.upstream(at).work = 100ms;
+  }
+  const auto play = [&fixture](int steps) {
+    std::vector<std::uint64_t> tokens;
+    for (int i = 0; i < steps; ++i) { // 200 requests per second, there is room for 120
+      for (std::size_t caller = i % 2; caller < 8; caller += 2) {
+        tokens.push_back(fixture.fleet.call(caller, "shop.example", "/orders/1", false));
+      }
+      fixture.fleet.run_for(20ms);
+    }
+    return tokens;
+  };
+  play(150); // learns
+  fixture.fleet.run_for(2s);
+  const std::size_t ignored_before = fixture.fleet.unanswered.size();
+  const std::vector<std::uint64_t> tokens = play(250);
+  fixture.fleet.run_for(2s);
+  const std::size_t ignored = fixture.fleet.unanswered.size() - ignored_before;
+  cr_assert(ignored * 50 < tokens.size(), "%zu of %zu ignored", ignored, tokens.size());
+  std::size_t served = 0;
+  for (const std::uint64_t token : tokens) {
+    const std::string attempt = "attempt-" + std::to_string(token);
+    const int status = fixture.fleet.answers[token].status;
+    served += status == status_ok ? 1 : 0;
+    cr_assert_not(fixture.fleet.unanswered.contains(attempt) && status == status_unavailable,
+                  "a request that an upstream may have executed is reported as not executed");
+  }
+  for (const auto& [attempt, count] : fixture.fleet.runs) {
+    cr_assert_eq(count, 1);
+  }
+  cr_assert(served * 10 >= tokens.size() * 5, "%zu of %zu served", served, tokens.size());
+}
+
+namespace {
+
+// One domain of a large fleet: 48 daemons whose callers use the 20 upstreams of `menu`.
+struct spread_scenario {
+  // `works` are the execution times, which the upstreams take in turn.
+  spread_scenario(const std::vector<arbutuslb::core::duration>& works, int requests_per_10_ms)
+      : fleet(3) {
+    for (std::size_t i = 0; i < callers; ++i) {
+      fleet.add("a", i < upstreams ? "menu" : "other");
+      fleet.upstream(i).slots = 6;
+      fleet.upstream(i).work = works[i % works.size()];
+    }
+    fleet.publish(configuration(1));
+    fleet.run_for(4s);
+    play(requests_per_10_ms, 300); // so that latencies are measured
+    std::vector<std::size_t> before;
+    for (std::size_t i = 0; i < upstreams; ++i) {
+      before.push_back(fleet.starts[i].size());
+    }
+    play(requests_per_10_ms, 1000);
+    fleet.run_for(2s);
+    for (std::size_t i = 0; i < upstreams; ++i) {
+      starts.push_back(fleet.starts[i].size() - before[i]);
+    }
+  }
+  void play(int requests, int steps) {
+    arbutuslb::core::random_source random(7);
+    for (int step = 0; step < steps; ++step) {
+      for (int i = 0; i < requests; ++i) {
+        fleet.call(random.below(callers), "shop.example", "/menu/1");
+      }
+      fleet.run_for(step % 2 == 0 ? 20ms : 0ms);
+    }
+  }
+  static constexpr std::size_t callers = 48;
+  static constexpr std::size_t upstreams = 20;
+  gateway_fleet fleet;
+  std::vector<std::size_t> starts; // by upstream
+};
+
+} // namespace
+
+Test(gateway, equal_upstreams_share_the_requests_of_many_callers) {
+  constexpr int light_load = 3; // a third of the slots
+  constexpr int heavy_load = 6; // two thirds of the slots
+  for (const int load : {light_load, heavy_load}) {
+    const spread_scenario scenario({140ms}, load);
+    const auto [fewest, most] = std::minmax_element(scenario.starts.begin(), scenario.starts.end());
+    const std::size_t total =
+        std::accumulate(scenario.starts.begin(), scenario.starts.end(), std::size_t{0});
+    constexpr double max_ratio_to_mean = 1.3;
+    cr_assert(static_cast<double>(*most * spread_scenario::upstreams) <
+                  max_ratio_to_mean * static_cast<double>(total),
+              "load %d: %zu to %zu of %zu", load, *fewest, *most, total);
+  }
+}
+
+// Callers that hold the same reports must not all turn to the same upstream: with two thirds of the
+// slots in use there is room for every request in time.
+Test(gateway, upstreams_of_unequal_speed_serve_many_callers_in_time) {
+  const spread_scenario scenario({80ms, 110ms, 140ms, 170ms, 200ms}, 6);
+  std::size_t ended = 0;
+  std::size_t late = 0;
+  for (const arbutuslb::core::engine::write_event& line : scenario.fleet.log) {
+    for (const auto& [key, value] : line.fields) {
+      if (line.name == "request_ended" && key == "ms") {
+        ++ended;
+        late += std::stoi(value) > 300 ? 1 : 0;
+      }
+    }
+  }
+  cr_assert_eq(ended, 7800);
+  cr_assert(late * 1000 < ended, "%zu of %zu are late", late, ended);
+}
--- a/src/arbutuslb/core/gateway/slot_limit.cc
+++ b/src/arbutuslb/core/gateway/slot_limit.cc
@@ -5,7 +5,7 @@
 namespace arbutuslb::core::gateway {
 namespace {
 
-// An answer proves for this long that the upstream bears the concurrency that it was given at.
+// An answer proves for this long that the upstream handles that concurrency.
 constexpr std::chrono::seconds proof_lifetime{3};
 // After a change the limit is raised by one after this time; the time doubles with each reduction,
 // since each attempt to raise the limit may cost a request.
--- a/src/arbutuslb/core/gateway/slot_limit.h
+++ b/src/arbutuslb/core/gateway/slot_limit.h
@@ -1,4 +1,4 @@
-// Learns how many concurrent requests an upstream bears.
+// Learns how many concurrent requests an upstream can handle.
 //
 // An upstream states its slots, but some never answer a request that they have no room for, and the
 // room may be less than stated: others may use it, or requests may still be executed that this
