Log when requests to a rate-limited upstream are written, and when its rate limit changes

Cause: the logs of the flooded cold upstream (docs/incidents) cannot tell late arrivals from a gate that takes the upstream for warm too early. Change: the HTTP client reports when a request has been written to its connection; the gate logs queueing time, time from admission to writing and the number of recent requests (limited_run_written, only while a rate limit is in force), and each change of the limit (rate_limit_changed). No decision changes. Ruled out: a line a request at any time, which the limit on log lines would drop under load. Conclusion: the two hypotheses predict different lines.

--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -37,6 +37,11 @@
 struct peer_disconnected {
   std::uint64_t token = 0;
 };
+// The request of an attempt that `send_to_upstream` started has been written to its connection.
+// Precedes `attempt_completed`, or does not occur.
+struct attempt_written {
+  std::uint64_t attempt = 0;
+};
 // Completes an attempt that `send_to_peer` or `send_to_upstream` started.
 struct attempt_completed {
   std::uint64_t attempt = 0;
@@ -98,7 +103,7 @@
 struct stop_requested {};
 
 using event = std::variant<tick, call_received, caller_disconnected, run_requested,
-                           peer_disconnected, attempt_completed, heartbeat_received,
+                           peer_disconnected, attempt_written, attempt_completed, heartbeat_received,
                            deregistration_received, operator_records_received, reports_received,
                            store_reachability_changed, peers_discovered, departure_recorded,
                            outcomes_read, outcome_recorded, stop_requested>;
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -79,6 +79,7 @@
   void operator()(const peer_disconnected& value) const {
     core.gate_.on_peer_disconnected(value.token);
   }
+  void operator()(const attempt_written& value) const { core.gate_.on_attempt_written(value); }
   void operator()(const attempt_completed& value) const {
     if (!core.gate_.on_attempt_completed(value)) {
       core.router_.on_attempt_completed(value);
--- a/src/arbutuslb/core/gateway/run_queue.cc
+++ b/src/arbutuslb/core/gateway/run_queue.cc
@@ -10,6 +10,11 @@
 
 } // namespace
 
+std::size_t run_queue::recent_starts(time_point now) const {
+  const auto is_recent = [now](time_point start) { return now - start < cold_rate_window; };
+  return static_cast<std::size_t>(std::count_if(starts_.begin(), starts_.end(), is_recent));
+}
+
 bool run_queue::can_start(time_point now) const {
   if (in_flight_ >= limit_) {
     return false;
@@ -17,9 +22,7 @@
   if (rate_ <= 0) {
     return true;
   }
-  const auto is_recent = [now](time_point start) { return now - start < cold_rate_window; };
-  const auto recent = std::count_if(starts_.begin(), starts_.end(), is_recent);
-  return static_cast<double>(recent) + 1.0 <= std::max(1.0, rate_);
+  return static_cast<double>(recent_starts(now)) + 1.0 <= std::max(1.0, rate_);
 }
 
 void run_queue::record_start(time_point now) {
--- a/src/arbutuslb/core/gateway/run_queue.h
+++ b/src/arbutuslb/core/gateway/run_queue.h
@@ -54,6 +54,9 @@
 
   int in_flight() const noexcept { return in_flight_; }
   int limit() const noexcept { return limit_; }
+  double rate() const noexcept { return rate_; }
+  // Returns the number of requests that count towards the rate limit.
+  std::size_t recent_starts(time_point now) const;
   std::size_t waiting() const noexcept { return waiting_.size(); }
   duration mean_latency() const noexcept { return mean_latency_; }
 
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -123,7 +123,15 @@
   }
   limit_.set_stated(upstream->slots);
   queue_.set_limit(limit_.value());
-  queue_.set_rate(cold_rate());
+  const double rate = cold_rate();
+  if (rate != queue_.rate()) {
+    shared_.write(engine::severity::info, "rate_limit_changed",
+                  {{"instance", upstream->instance_id},
+                   {"from", std::to_string(queue_.rate())},
+                   {"to", std::to_string(rate)},
+                   {"waiting", std::to_string(queue_.waiting())}});
+  }
+  queue_.set_rate(rate);
 }
 
 double upstream_gate::cold_rate() const {
@@ -172,6 +180,20 @@
   }
 }
 
+void upstream_gate::on_attempt_written(const attempt_written& written) {
+  const auto found = tokens_by_attempt_.find(written.attempt);
+  if (found == tokens_by_attempt_.end() || queue_.rate() <= 0) {
+    return;
+  }
+  const execution& value = executions_.at(found->second);
+  shared_.write(engine::severity::info, "limited_run_written",
+                {{"id", value.request.content.attempt_id},
+                 {"queued_ms", std::to_string(to_milliseconds(value.started - value.received_at))},
+                 {"write_ms", std::to_string(to_milliseconds(shared_.now - value.started))},
+                 {"recent", std::to_string(queue_.recent_starts(shared_.now))},
+                 {"rate", std::to_string(queue_.rate())}});
+}
+
 // --- completion ---
 
 bool upstream_gate::on_attempt_completed(const attempt_completed& end) {
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -34,6 +34,7 @@
   };
   std::vector<local_result> take_local_results() { return std::exchange(local_results_, {}); }
 
+  void on_attempt_written(const attempt_written& written);
   // Returns false if the attempt does not belong to the gate.
   bool on_attempt_completed(const attempt_completed& end);
   void on_heartbeat(const heartbeat_received& value);
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -235,6 +235,7 @@
       return platform::is_answer_to(answer, attempt_id);
     };
     const std::uint64_t attempt = action.attempt;
+    options.on_written = [this, attempt] { handle(gateway::attempt_written{attempt}); };
     const std::uint64_t exchange_id =
         upstream_client.send(settings.upstream, platform::encode_run_request(action.request),
                              std::move(options), [this, attempt](http::exchange_result exchange) {
--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -130,10 +130,18 @@
                         // has read the whole request.
                         if (!error) {
                           self->request_bytes_ = {};
+                          self->report_written();
                         }
                       });
   }
 
+  void report_written() {
+    const std::function<void()> on_written = std::exchange(options_.on_written, nullptr);
+    if (on_written && on_end_ != nullptr) {
+      on_written();
+    }
+  }
+
   void wait_for_bytes() {
     if (is_waiting_ || is_closed_) {
       return;
--- a/src/arbutuslb/runtime/http/client.h
+++ b/src/arbutuslb/runtime/http/client.h
@@ -43,6 +43,9 @@
   // Returns whether an answer belongs to this request; other answers are dropped. Empty: every
   // answer is accepted.
   std::function<bool(const core::http_response&)> is_matching_answer;
+  // Called at most once, when the whole request has been written to its connection; never from
+  // within `send`, and not after the exchange has ended. May be empty.
+  std::function<void()> on_written;
 };
 
 // Not thread-safe.
