--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -103,10 +103,10 @@
 struct stop_requested {};
 
 using event = std::variant<tick, call_received, caller_disconnected, run_requested,
-                           peer_disconnected, attempt_written, attempt_completed, heartbeat_received,
-                           deregistration_received, operator_records_received, reports_received,
-                           store_reachability_changed, peers_discovered, departure_recorded,
-                           outcomes_read, outcome_recorded, stop_requested>;
+                           peer_disconnected, attempt_written, attempt_completed,
+                           heartbeat_received, deregistration_received, operator_records_received,
+                           reports_received, store_reachability_changed, peers_discovered,
+                           departure_recorded, outcomes_read, outcome_recorded, stop_requested>;
 
 // --- actions ---
 
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -356,6 +356,16 @@
   const registered_upstream& upstream = *shared_.registry.upstream();
   const bool is_new = !previous || previous->instance_id != upstream.instance_id ||
                       previous->started_ms != upstream.started_ms;
+  const bool is_cold_time_relevant =
+      previous && (shared_.now < previous->cold_until || value.content.cold_for > duration::zero());
+  if (!is_new && is_cold_time_relevant) {
+    const duration expected = std::max(duration::zero(), previous->cold_until - shared_.now);
+    shared_.write(engine::severity::info, "cold_time_reported",
+                  {{"instance", upstream.instance_id},
+                   {"cold_ms", std::to_string(to_milliseconds(value.content.cold_for))},
+                   {"expected_ms", std::to_string(to_milliseconds(expected))},
+                   {"sequence", std::to_string(upstream.sequence)}});
+  }
   if (is_new || previous->state != upstream.state) {
     shared_.is_report_due = true;
     shared_.write(engine::severity::info, "upstream_state",
