The gate keeps the rate limit until the cold time has surely passed

Callers' side: a cold upstream received a few requests a second too many (33 of 32, 28 of 27.5), which can make it crash. Cause: a cold upstream's remaining time is reported in milliseconds, rounded down, and the gate took it for exact. At the end it released its whole queue at once (up to 12 requests were waiting in the logs), up to a millisecond before the upstream was warm; a heartbeat that rounds the rest to 0 did the same. Until then no second held more than the gate's 25. Change: the upstream is treated as cold for 100 ms longer than reported, and a report of zero shortens that time no further. Test: gateway::queued_requests_are_not_released_to_an_upstream_that_is_still_cold failed before (16 requests in 980 ms, 15 allowed) and passes; so does the one of the registry.

--- a/src/arbutuslb/core/gateway/gateway_load_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_load_test.cc
@@ -44,6 +44,37 @@
   cr_assert(served * 10 >= tokens.size() * 5, "%zu of %zu served", served, tokens.size());
 }
 
+// The remaining cold time is reported in whole milliseconds, rounded down.
+Test(gateway, queued_requests_are_not_released_to_an_upstream_that_is_still_cold) {
+  gateway_fleet fleet(1);
+  fleet.cold_load_factor = 1.5;
+  fleet.add("a", "menu");
+  fleet.publish(configuration(1)); // a cold upstream of `menu` sustains 10 * 1.5 per second
+  fleet.run_for(4s);
+  const arbutuslb::core::time_point cold_since = fleet.now();
+  const arbutuslb::core::time_point cold_until = cold_since + 3000900us;
+  gateway::heartbeat first_cold = fleet.next_heartbeat(0);
+  ++first_cold.sequence;
+  first_cold.cold_for = 3000ms;
+  fleet.send_heartbeat(0, first_cold);
+  while (fleet.now() < cold_until) {
+    const arbutuslb::core::duration cold_at_next_tick =
+        cold_until - (fleet.now() + gateway::tick_period);
+    fleet.upstream(0).cold_for =
+        std::chrono::duration_cast<std::chrono::milliseconds>(cold_at_next_tick);
+    fleet.call(0, "shop.example", "/menu/1");
+    fleet.run_for(gateway::tick_period);
+  }
+  const auto& starts = fleet.starts[0];
+  const auto first = std::lower_bound(starts.begin(), starts.end(), cold_since);
+  const auto last = std::lower_bound(starts.begin(), starts.end(), cold_until);
+  cr_assert(last - first >= 40);
+  for (auto start = first; last - start > 15; ++start) {
+    cr_assert(static_cast<int>((start[15] - *start) / 1ms) >= 1000, "16 requests in %d ms",
+              static_cast<int>((start[15] - *start) / 1ms));
+  }
+}
+
 namespace {
 
 // One domain of a large fleet: 48 daemons whose callers use the 20 upstreams of `menu`.
--- a/src/arbutuslb/core/gateway/parts_test.cc
+++ b/src/arbutuslb/core/gateway/parts_test.cc
@@ -201,6 +201,21 @@
   cr_assert(registry.on_heartbeat(make_heartbeat(6, 5), start) == heartbeat_verdict::stale);
 }
 
+// Reports of the remaining cold time are truncated and may be read out of step with the clock.
+Test(upstream_registry,
+     a_cold_upstream_is_not_taken_for_warm_before_its_cold_time_has_surely_passed) {
+  upstream_registry registry("10.0.0.1:80");
+  heartbeat cold = make_heartbeat(1);
+  cold.cold_for = 2999ms; // of 2999.9 ms
+  registry.on_heartbeat(cold, start);
+  cr_assert(registry.is_cold(start + 3000ms));
+  heartbeat ending = make_heartbeat(2);
+  ending.cold_for = 0ms; // of 0.9 ms
+  registry.on_heartbeat(ending, start + 2999ms);
+  cr_assert(registry.is_cold(start + 3000ms));
+  cr_assert_not((registry.is_cold(start + 3200ms)));
+}
+
 Test(upstream_registry, a_late_heartbeat_does_not_restore_a_deregistered_upstream) {
   upstream_registry registry("10.0.0.1:80");
   registry.on_deregistration("i-1", start);
--- a/src/arbutuslb/core/gateway/upstream_registry.cc
+++ b/src/arbutuslb/core/gateway/upstream_registry.cc
@@ -9,6 +9,9 @@
 // heartbeat nor answered a request within these times is treated as down.
 constexpr std::chrono::milliseconds heartbeat_timeout{4500};
 constexpr std::chrono::milliseconds response_timeout{3000};
+// An upstream is treated as cold for this long after its reported cold time: the report is rounded
+// down, and a busy process reads its clock at another moment than it sends a request.
+constexpr std::chrono::milliseconds cold_time_margin{100};
 // Maximum delay of a heartbeat. For an upstream that deregistered before its first heartbeat the
 // start time is unknown: a heartbeat with its id is attributed to the departed incarnation for this
 // time, and to a later one afterwards.
@@ -58,7 +61,7 @@
   updated.address = value.address;
   updated.slots = std::max(1, value.slots);
   updated.state = value.state;
-  updated.cold_until = value.cold_for > duration::zero() ? now + value.cold_for : time_point{};
+  updated.cold_until = cold_end(value, now);
   updated.last_contact = now;
   upstream_ = std::move(updated);
   is_unreachable_ = false;
@@ -68,6 +71,16 @@
   return heartbeat_verdict::accepted;
 }
 
+time_point upstream_registry::cold_end(const heartbeat& value, time_point now) const {
+  const time_point reported_end = now + value.cold_for + cold_time_margin;
+  if (value.cold_for > duration::zero()) {
+    return reported_end;
+  }
+  const bool was_cold = is_cold(now) && upstream_->instance_id == value.instance_id &&
+                        upstream_->started_ms == value.started_ms;
+  return was_cold ? std::min(upstream_->cold_until, reported_end) : time_point{};
+}
+
 bool upstream_registry::has_departed(const heartbeat& value, time_point now) const {
   if (!departed_ || departed_->instance_id != value.instance_id) {
     return false;
--- a/src/arbutuslb/core/gateway/upstream_registry.h
+++ b/src/arbutuslb/core/gateway/upstream_registry.h
@@ -73,7 +73,7 @@
   void on_unreachable() { is_unreachable_ = true; }
   // The upstream has answered a request: for a time, it is not treated as down without heartbeats.
   void on_response(time_point now) { last_response_ = now; }
-  // Treats the upstream as cold until `until`, or until its next heartbeat.
+  // Treats the upstream as cold until `until`, or until shortly after its next heartbeat.
   void assume_cold(time_point until);
 
   // Returns the upstream of the last accepted heartbeat; nothing before the first.
@@ -85,6 +85,8 @@
 private:
   std::string local_address_;
   std::optional<registered_upstream> upstream_;
+  // Returns the time until which the sender of the heartbeat is treated as cold.
+  time_point cold_end(const heartbeat& value, time_point now) const;
   // Returns true if the heartbeat is from the departed incarnation or an earlier one.
   bool has_departed(const heartbeat& value, time_point now) const;
   void set_departure(upstream_incarnation departed, time_point now);
