Decode and log the limit and the departure that an upstream states in its answers

Change: platform decodes Server-Limit and Server-Leaving into upstream_notice; a limit that is no finite number of zero or more is ignored, and an answer of another upstream (421) states nothing. The gate logs each change (upstream_notice). No decision changes.

--- a/src/arbutuslb/core/gateway/calls.h
+++ b/src/arbutuslb/core/gateway/calls.h
@@ -5,6 +5,7 @@
 #include "arbutuslb/core/base/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace arbutuslb::core::gateway {
@@ -38,6 +39,14 @@
   unknown       // may have been executed
 };
 
+// What an upstream states about itself in an answer.
+struct upstream_notice {
+  // Requests per second that the upstream takes from all daemons together.
+  std::optional<double> rate_limit;
+  bool is_leaving = false;
+  friend bool operator==(const upstream_notice&, const upstream_notice&) = default;
+};
+
 struct run_result {
   run_outcome outcome = run_outcome::unknown;
   http_response answer;          // set if `answered`
@@ -46,6 +55,8 @@
   duration retry_after{}; // for `not_executed`: time until capacity is expected; zero if unknown
   int in_flight = -1;     // requests in flight at the upstream; -1 if unknown
   int waiting = 0;        // requests queued for the upstream
+  // Set if the upstream has answered or refused the request.
+  std::optional<upstream_notice> notice;
 };
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -229,6 +229,9 @@
   if (end.is_silent) {
     record_silence(ended);
   }
+  if (end.result.notice) {
+    record_notice(ended, *end.result.notice);
+  }
   if (!is_answer) {
     return;
   }
@@ -244,6 +247,18 @@
   }
 }
 
+void upstream_gate::record_notice(const execution& ended, const upstream_notice& notice) {
+  if (notice == last_notice_) {
+    return;
+  }
+  last_notice_ = notice;
+  shared_.write(engine::severity::info, "upstream_notice",
+                {{"instance", ended.request.instance_id},
+                 {"id", ended.request.content.attempt_id},
+                 {"rate_limit", notice.rate_limit ? std::to_string(*notice.rate_limit) : "none"},
+                 {"leaving", notice.is_leaving ? "true" : "false"}});
+}
+
 void upstream_gate::record_silence(const execution& ended) {
   const int before = limit_.value();
   limit_.on_silence(ended.started, shared_.now);
@@ -380,6 +395,7 @@
     failed_share_ = 0;
     route_means_.clear();
     limit_.reset();
+    last_notice_ = {};
   }
   if (upstream.state != upstream_lifecycle::ready) {
     refuse_queued("upstream is leaving");
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -82,6 +82,7 @@
   void advance_departure();
   void send_acknowledgements(const std::string& reason);
   void record_completion(const execution& ended, const attempt_completed& end);
+  void record_notice(const execution& ended, const upstream_notice& notice);
   // Takes note of a request that the upstream has not answered.
   void record_silence(const execution& ended);
   void update_limits();
@@ -107,7 +108,8 @@
   duration departure_retry_delay_{};
   bool is_recording_departure_ = false;
   bool is_departure_recorded_ = false;
-  double failed_share_ = 0; // moving average of failed requests, 0 to 1
+  upstream_notice last_notice_; // in the newest answer of the upstream
+  double failed_share_ = 0;     // moving average of failed requests, 0 to 1
   bool was_withdrawn_ = false;
   // Evidence for the running rollout.
   std::uint64_t evidence_id_ = 0;
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -156,6 +156,20 @@
   cr_assert_not(is_answer_to({200, {{"X-Attempt-Identifier", "b"}}, ""}, "a"));
 }
 
+Test(requests, limit_and_departure_that_an_upstream_states_are_decoded) {
+  const auto notice_of = [](int status, core::header_list headers) {
+    return decode_answer({status, std::move(headers), ""}).notice;
+  };
+  const gateway::upstream_notice both =
+      notice_of(500, {{"Server-Limit", "27.5"}, {"Server-Leaving", "1"}}).value();
+  cr_assert(both.rate_limit == 27.5 && both.is_leaving);
+  cr_assert(notice_of(503, {{"X-Not-Executed", "1"}, {"server-limit", "0"}})->rate_limit == 0.0);
+  for (const char* text : {"", "-1", "many", "1e999", "nan", "inf", "5 "}) {
+    cr_assert(notice_of(200, {{"Server-Limit", text}}) == gateway::upstream_notice{}, "%s", text);
+  }
+  cr_assert_not(notice_of(421, {{"Server-Leaving", "1"}}).has_value());
+}
+
 Test(gateway_codec, requests_results_and_reports_survive_a_round_trip) {
   namespace wire = arbutuslb::runtime::wire;
   gateway::run_request request;
--- a/src/arbutuslb/platform/requests.cc
+++ b/src/arbutuslb/platform/requests.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace arbutuslb::platform {
 namespace {
@@ -15,6 +16,8 @@
 constexpr const char* caller_field = "X-Calling-Service";
 constexpr const char* not_executed_field = "X-Not-Executed";
 constexpr const char* signature_field = "X-Response-Signature";
+constexpr const char* rate_limit_field = "Server-Limit"; // requests per second
+constexpr const char* leaving_field = "Server-Leaving";  // "1"
 
 constexpr int status_misdirected = 421;
 constexpr int first_success = 200;
@@ -36,6 +39,26 @@
       std::chrono::duration<double, std::milli>(milliseconds));
 }
 
+// A limit that is not a number is ignored: the answer itself is valid.
+std::optional<double> parse_rate_limit(const std::string& text) {
+  double value = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool is_valid = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size() &&
+                        std::isfinite(value) && value >= 0;
+  return is_valid ? std::optional<double>(value) : std::nullopt;
+}
+
+gateway::upstream_notice decode_notice(const core::header_list& headers) {
+  gateway::upstream_notice notice;
+  if (const std::string* limit = core::find_header(headers, rate_limit_field)) {
+    notice.rate_limit = parse_rate_limit(*limit);
+  }
+  const std::string* leaving = core::find_header(headers, leaving_field);
+  notice.is_leaving = leaving != nullptr && *leaving == "1";
+  return notice;
+}
+
 } // namespace
 
 gateway::call decode_call(core::http_request request) {
@@ -77,6 +100,9 @@
 gateway::run_result decode_answer(core::http_response answer) {
   gateway::run_result result;
   result.reached_upstream = true;
+  if (answer.status != status_misdirected) {
+    result.notice = decode_notice(answer.headers);
+  }
   if (core::find_header(answer.headers, not_executed_field) != nullptr ||
       answer.status == status_misdirected) {
     result.outcome = gateway::run_outcome::not_executed;
