The gate keeps the limit that its upstream states

All requests to an upstream pass through its gate, so the gate alone can keep it. Change: stated_rate_limit, a policy of its own: a stated limit holds until an answer to a later request states none; a gate without an answer yet uses the limit that callers' daemons send along, which they have from their own newest answer. The queue takes the lower of the cold rate and the stated limit, at least one request a second, since only answers end a limit. Reports carry it as they carried the cold rate, so the choice avoids such upstreams. Tests: gateway::an_upstream_that_states_a_limit_is_offered_no_more_even_after_a_restart_of_its_daemon fails without the gate's part (36 requests in 1300 ms, 35 allowed in 4 s), gateway::a_restarted_daemon_keeps_the_limit_... without the hints (19, 11 allowed). Whether callers are better served by using part of the tolerance is the next question.

--- a/src/arbutuslb/core/gateway/calls.h
+++ b/src/arbutuslb/core/gateway/calls.h
@@ -31,6 +31,8 @@
   duration target_time_left{};     // until the route's target latency has passed
   int rollout_share_permille = -1; // share of the rollout when the version was chosen; -1: none
   bool is_retry = false;           // an earlier attempt may have reached an upstream
+  // Limit that the upstream stated in the newest answer that the sender has received from it.
+  std::optional<double> stated_rate_limit;
 };
 
 enum class run_outcome : std::uint8_t {
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -412,7 +412,7 @@
                    {"version", report.version},
                    {"usable", report.is_usable ? "true" : "false"},
                    {"stopping", report.is_stopping ? "true" : "false"},
-                   {"cold_rate", std::to_string(static_cast<int>(report.cold_rate))},
+                   {"rate_limit", std::to_string(static_cast<int>(report.rate_limit))},
                    {"age_ms", std::to_string(to_milliseconds(aged.age))}});
   }
   rollouts_.on_report(report);
--- a/src/arbutuslb/core/gateway/gateway_load_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_load_test.cc
@@ -75,6 +75,75 @@
   }
 }
 
+// Half of the upstreams of a service state that they take 5 requests per second from all daemons.
+Test(gateway,
+     an_upstream_that_states_a_limit_is_offered_no_more_even_after_a_restart_of_its_daemon) {
+  mesh_fixture fixture;
+  for (const std::size_t at : {0, 4}) {
+    fixture.fleet.upstream(at).notice.rate_limit = 5;
+  }
+  const auto play = [&fixture](int steps) {
+    std::vector<std::uint64_t> tokens;
+    for (int i = 0; i < steps; ++i) { // 100 requests per second
+      for (std::size_t caller = i % 4; caller < 8; caller += 4) {
+        tokens.push_back(fixture.fleet.call(caller, "shop.example", "/menu/1"));
+      }
+      fixture.fleet.run_for(20ms);
+    }
+    return tokens;
+  };
+  play(25); // learns
+  const arbutuslb::core::time_point began = fixture.fleet.now() + 500ms;
+  std::vector<std::uint64_t> tokens = play(150);
+  fixture.fleet.restart(0);
+  for (const std::uint64_t token : play(300)) {
+    tokens.push_back(token);
+  }
+  fixture.fleet.run_for(2s);
+  for (const std::size_t at : {0, 4}) {
+    const auto& starts = fixture.fleet.starts[at];
+    const auto first = std::lower_bound(starts.begin(), starts.end(), began);
+    constexpr int allowed = 1.5 * 5 * 4 + 5; // in 4 s
+    for (auto start = first; starts.end() - start > allowed; ++start) {
+      const int span = static_cast<int>((start[allowed] - *start) / 1ms);
+      cr_assert(span >= 4000, "%d requests in %d ms", allowed + 1, span);
+    }
+    cr_assert(starts.end() - first >= 9 * 4, "%d requests", static_cast<int>(starts.end() - first));
+  }
+  std::size_t served = 0;
+  for (const std::uint64_t token : tokens) {
+    served += fixture.fleet.answers[token].status == status_ok ? 1 : 0;
+  }
+  cr_assert(served * 100 >= tokens.size() * 98, "%zu of %zu served", served, tokens.size());
+}
+
+Test(gateway, a_restarted_daemon_keeps_the_limit_that_its_upstream_stated_to_other_daemons) {
+  mesh_fixture fixture;
+  for (const std::size_t at : menu_daemons) {
+    fixture.fleet.upstream(at).slots = 16;
+    fixture.fleet.upstream(at).work = 400ms;
+  }
+  fixture.fleet.upstream(0).notice.rate_limit = 1;
+  const auto play = [&fixture](int steps) {
+    for (int i = 0; i < steps; ++i) { // 200 requests per second
+      for (std::size_t caller = 1; caller < 8; caller += 2) {
+        fixture.fleet.call(caller, "shop.example", "/menu/1");
+      }
+      fixture.fleet.run_for(20ms);
+    }
+  };
+  play(100);
+  fixture.fleet.restart(0);
+  const arbutuslb::core::time_point restarted = fixture.fleet.now();
+  play(250);
+  const auto& starts = fixture.fleet.starts[0];
+  const auto first = std::lower_bound(starts.begin(), starts.end(), restarted);
+  const auto last = std::lower_bound(starts.begin(), starts.end(), restarted + 4s);
+  constexpr int allowed = 1.5 * 1 * 4 + 5; // in 4 s
+  cr_assert(last - first <= allowed, "%d requests", static_cast<int>(last - first));
+  cr_assert(last != first);
+}
+
 namespace {
 
 // One domain of a large fleet: 48 daemons whose callers use the 20 upstreams of `menu`.
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -54,9 +54,10 @@
     return {};
   }
   const peer_report& before = known.report;
-  const bool is_changed =
-      is_new || before.is_usable != report.is_usable || before.instance_id != report.instance_id ||
-      before.is_stopping != report.is_stopping || (before.cold_rate > 0) != (report.cold_rate > 0);
+  const bool is_changed = is_new || before.is_usable != report.is_usable ||
+                          before.instance_id != report.instance_id ||
+                          before.is_stopping != report.is_stopping ||
+                          (before.rate_limit > 0) != (report.rate_limit > 0);
   newest_log_end_ = std::max(newest_log_end_, report.operator_log_end);
   live_count_ = is_new ? std::nullopt : live_count_;
   if (is_changed || before.version != report.version || before.service != report.service) {
@@ -229,10 +230,10 @@
   const double excess = std::max(0.0, load + 1.0 - limit);
   const double mean = static_cast<double>(std::max(report.mean_latency, duration{1}).count());
   double expected = static_cast<double>(service_time.count()) + mean * excess / limit;
-  if (report.cold_rate > 0) {
+  if (report.rate_limit > 0) {
     // The queue of a cold upstream drains at its rate limit.
     constexpr double microseconds = 1e6;
-    expected += microseconds * load / std::max(1.0, report.cold_rate);
+    expected += microseconds * load / std::max(1.0, report.rate_limit);
   }
   const double target = static_cast<double>(std::max(query.target_latency, duration{1000}).count());
   const double lateness = std::max(0.0, expected / target - safe_latency_fraction);
@@ -325,6 +326,26 @@
   found->second.last_contact = now;
 }
 
+void peer_directory::on_notice(const std::string& host, const upstream_incarnation& upstream,
+                               const upstream_notice& notice) {
+  const auto found = peers_.find(host);
+  if (found != peers_.end()) {
+    found->second.answered_by = upstream;
+    found->second.stated_rate_limit = notice.rate_limit;
+  }
+}
+
+std::optional<double> peer_directory::stated_rate_limit(const std::string& host) const {
+  const auto found = peers_.find(host);
+  if (found == peers_.end()) {
+    return std::nullopt;
+  }
+  const peer& value = found->second;
+  const bool is_same = value.answered_by.instance_id == value.report.instance_id &&
+                       value.answered_by.started_ms == value.report.upstream_started_ms;
+  return is_same ? value.stated_rate_limit : std::nullopt;
+}
+
 void peer_directory::on_unreachable(const std::string& host, time_point now) {
   const auto found = peers_.find(host);
   if (found == peers_.end()) {
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -11,7 +11,9 @@
 #pragma once
 
 #include "arbutuslb/core/base/random.h"
+#include "arbutuslb/core/gateway/calls.h"
 #include "arbutuslb/core/gateway/peer_report.h"
+#include "arbutuslb/core/gateway/upstream_registry.h"
 #include "arbutuslb/core/gateway/upstream_subset.h"
 
 #include <functional>
@@ -75,6 +77,11 @@
   void on_completed(const std::string& host);
   // Updates the load of a peer's upstream from a reply.
   void on_load(const std::string& host, int in_flight, int waiting, time_point now);
+  // The peer's upstream has answered a request of this daemon.
+  void on_notice(const std::string& host, const upstream_incarnation& upstream,
+                 const upstream_notice& notice);
+  // Returns the limit that the peer's upstream stated in its newest answer to this daemon.
+  std::optional<double> stated_rate_limit(const std::string& host) const;
   // The peer could not be reached; it is excluded for a short time, longer after each failure in a
   // row.
   void on_unreachable(const std::string& host, time_point now);
@@ -117,6 +124,8 @@
     int local_in_flight = 0;          // requests that this daemon has in flight there
     int reported_local_in_flight = 0; // part of them that `report` includes
     int consecutive_failures = 0;
+    upstream_incarnation answered_by;        // sender of the newest answer to this daemon
+    std::optional<double> stated_rate_limit; // in that answer
   };
   const std::map<std::string, peer>& peers() const noexcept { return peers_; }
 
--- a/src/arbutuslb/core/gateway/peer_report.h
+++ b/src/arbutuslb/core/gateway/peer_report.h
@@ -48,7 +48,7 @@
   int in_flight = 0;
   int waiting = 0;         // requests queued for a slot
   int failed_permille = 0; // share of recent requests that failed
-  double cold_rate = 0;    // rate limit in requests per second; zero if the upstream is warm
+  double rate_limit = 0;   // of the upstream, in requests per second; zero if there is none
   duration mean_latency{};
   std::vector<route_latency> routes;
   // Offset after the newest operator record; 0 if the sender has no configuration.
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -138,6 +138,7 @@
       shared_.registry.upstream() ? &*shared_.registry.upstream() : nullptr;
   const auto peer = shared_.directory.peers().find(host);
   pending.host = host;
+  pending.upstream = {peer->second.report.instance_id, peer->second.report.upstream_started_ms};
   pending.sent_at = shared_.now;
   pending.attempt = shared_.next_id();
   pending.tried.push_back(host);
@@ -154,6 +155,7 @@
   request.target_time_left = pending.received_at + pending.route->target_latency - shared_.now;
   request.rollout_share_permille = pending.rollout_share_permille;
   request.is_retry = pending.upstreams_reached > 0;
+  request.stated_rate_limit = shared_.directory.stated_rate_limit(host);
   const std::uint64_t attempt = pending.attempt;
   attempts_by_token_[pending.token] = attempt;
   shared_.directory.on_sent(host);
@@ -186,6 +188,9 @@
     shared_.directory.on_refused(pending.host, pending.route->rank,
                                  shared_.now + refusal_exclusion_time, shared_.now);
   }
+  if (end.result.notice) {
+    shared_.directory.on_notice(pending.host, pending.upstream, *end.result.notice);
+  }
   pending.last_result = end.result;
   if (end.result.reached_upstream) {
     ++pending.upstreams_reached;
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -56,7 +56,8 @@
     time_point received_at{};
     time_point deadline{};
     std::uint64_t attempt = 0;
-    std::string host; // target of the current attempt
+    std::string host;              // target of the current attempt
+    upstream_incarnation upstream; // upstream of that host
     time_point sent_at{};
     std::vector<std::string> tried; // hosts of all attempts
     int attempts = 0;               // including the current one
--- a/src/arbutuslb/core/gateway/run_queue.cc
+++ b/src/arbutuslb/core/gateway/run_queue.cc
@@ -11,7 +11,7 @@
 } // namespace
 
 std::size_t run_queue::recent_starts(time_point now) const {
-  const auto is_recent = [now](time_point start) { return now - start < cold_rate_window; };
+  const auto is_recent = [now](time_point start) { return now - start < rate_window; };
   return static_cast<std::size_t>(std::count_if(starts_.begin(), starts_.end(), is_recent));
 }
 
@@ -27,7 +27,7 @@
 
 void run_queue::record_start(time_point now) {
   ++in_flight_;
-  while (!starts_.empty() && now - starts_.front() >= cold_rate_window) {
+  while (!starts_.empty() && now - starts_.front() >= rate_window) {
     starts_.pop_front();
   }
   starts_.push_back(now);
--- a/src/arbutuslb/core/gateway/run_queue.h
+++ b/src/arbutuslb/core/gateway/run_queue.h
@@ -1,7 +1,7 @@
 // Admission queue of an upstream: decides which requests start, wait, or are refused.
 //
 // The queue protects the upstream from overload. It starts no more concurrent requests than the
-// upstream has slots, and no more per second than a cold upstream sustains. A request that is not
+// upstream has slots, and no more per second than its rate limit allows. A request that is not
 // expected to start by its latest useful time is refused at once instead of timing out in the
 // queue. Requests are served by rank, most urgent first, and in order of arrival within a rank.
 //
@@ -18,8 +18,8 @@
 
 namespace arbutuslb::core::gateway {
 
-// Sliding window over which the rate limit of a cold upstream is enforced.
-inline constexpr std::chrono::seconds cold_rate_window{1};
+// Sliding window over which a rate limit is enforced.
+inline constexpr std::chrono::seconds rate_window{1};
 
 struct queued_run {
   std::uint64_t token = 0;
@@ -68,7 +68,7 @@
   double rate_ = 0;
   int in_flight_ = 0;
   std::deque<queued_run> waiting_; // by rank, then by arrival
-  std::deque<time_point> starts_;  // starts within `cold_rate_window`
+  std::deque<time_point> starts_;  // starts within `rate_window`
   duration mean_latency_ = std::chrono::milliseconds{50};
 };
 
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -31,6 +31,9 @@
 // Delay before a departure is submitted again; it doubles with each refusal in a row.
 constexpr std::chrono::milliseconds first_departure_retry_delay{200};
 constexpr std::chrono::milliseconds max_departure_retry_delay{3200};
+// An upstream that takes nothing still receives some requests: only its answers tell when that
+// ends.
+constexpr double min_rate_limit = 1.0;
 constexpr double permille = 1000.0;
 
 bool is_server_error(const run_result& result) {
@@ -64,6 +67,9 @@
     refuse(incoming, reason, duration::zero());
     return;
   }
+  if (incoming.request.stated_rate_limit) {
+    stated_limit_.on_peer_hint(*incoming.request.stated_rate_limit);
+  }
   update_limits();
   const queued_run queued{token, incoming.request.rank, latest_start(incoming.request)};
   const admission_verdict verdict = queue_.submit(queued, shared_.now);
@@ -123,7 +129,7 @@
   }
   limit_.set_stated(upstream->slots);
   queue_.set_limit(limit_.value());
-  const double rate = cold_rate();
+  const double rate = rate_limit();
   if (rate != queue_.rate()) {
     shared_.write(engine::severity::info, "rate_limit_changed",
                   {{"instance", upstream->instance_id},
@@ -146,7 +152,7 @@
     return 0;
   }
   // A new process has not counted the requests that the previous one started in the last second.
-  const bool has_full_window = shared_.now - shared_.started >= cold_rate_window;
+  const bool has_full_window = shared_.now - shared_.started >= rate_window;
   if (!has_full_window) {
     return policy->cold_rate;
   }
@@ -154,6 +160,15 @@
          usable_extra_fraction * shared_.settings.cold_load_extra;
 }
 
+double upstream_gate::rate_limit() const {
+  const double cold = cold_rate();
+  if (!stated_limit_.value()) {
+    return cold;
+  }
+  const double stated = std::max(*stated_limit_.value(), min_rate_limit);
+  return cold > 0 ? std::min(cold, stated) : stated;
+}
+
 void upstream_gate::start(std::uint64_t token) {
   execution& value = executions_.at(token);
   value.attempt = shared_.next_id();
@@ -248,6 +263,7 @@
 }
 
 void upstream_gate::record_notice(const execution& ended, const upstream_notice& notice) {
+  stated_limit_.on_answer(notice.rate_limit, ended.started, shared_.now);
   if (notice == last_notice_) {
     return;
   }
@@ -395,6 +411,7 @@
     failed_share_ = 0;
     route_means_.clear();
     limit_.reset();
+    stated_limit_.reset();
     last_notice_ = {};
   }
   if (upstream.state != upstream_lifecycle::ready) {
@@ -525,7 +542,7 @@
     report.routes.push_back({static_cast<std::uint32_t>(hash_bytes(route)),
                              duration{static_cast<duration::rep>(mean)}});
   }
-  report.cold_rate = cold_rate();
+  report.rate_limit = rate_limit();
 }
 
 std::optional<protocol::evidence_report> upstream_gate::rollout_evidence() {
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -3,7 +3,8 @@
 // The gate enforces these rules without agreement with other daemons:
 // - The upstream has at most as many requests in flight as it has slots, or fewer if it has fallen
 //   silent beside that many (slot_limit.h).
-// - A cold upstream receives requests at no more than its rate limit.
+// - A cold upstream receives requests at no more than its rate limit, and one that states a limit
+//   in its answers at no more than that.
 // - A request is accepted only if the upstream is the instance that the request was sent to.
 // - No request is accepted without a configuration, while the daemon is stopping, after the
 //   upstream has started to depart, while its failure domain is withdrawn, or after its version was
@@ -14,6 +15,7 @@
 #include "arbutuslb/core/gateway/rollout_conductor.h"
 #include "arbutuslb/core/gateway/run_queue.h"
 #include "arbutuslb/core/gateway/slot_limit.h"
+#include "arbutuslb/core/gateway/stated_rate_limit.h"
 
 namespace arbutuslb::core::gateway {
 
@@ -89,12 +91,16 @@
   // Returns the rate limit of the upstream in requests per second; zero if there is none, because
   // the upstream is not cold or its service is not configured.
   double cold_rate() const;
+  // Returns the lower of the cold rate and the limit that the upstream states; zero if there is
+  // neither.
+  double rate_limit() const;
   duration route_mean(const std::string& route) const;
 
   gateway_context& shared_;
   const rollout_conductor& rollouts_;
   run_queue queue_;
   slot_limit limit_;
+  stated_rate_limit stated_limit_;
   std::map<std::uint64_t, execution> executions_; // by token
   std::map<std::uint64_t, std::uint64_t> tokens_by_attempt_;
   std::map<std::uint64_t, std::uint64_t> tokens_by_peer_;  // by the token of the peer's request
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -302,16 +302,21 @@
     return;
   }
   completion.result.reached_upstream = true;
+  completion.result.notice = upstream.notice;
   if (upstream.sheds) {
     completion.result.outcome = gateway::run_outcome::not_executed;
     completion.result.reason = "upstream refused";
     after(upstream_delay, [this, index, completion] { handle(index, completion); });
     return;
   }
+  if (upstream.loses_answers) {
+    completion.result.notice.reset();
+  }
   if (upstream.mute_above > 0 &&
       running_now[index] >= static_cast<std::size_t>(upstream.mute_above)) {
     unanswered.insert(action.request.content.attempt_id);
     completion.is_silent = true;
+    completion.result.notice.reset();
     completion.result.reason = "upstream sent no answer in time";
     after(action.request.time_left, [this, index, completion, attempt] {
       if (!cancelled_.contains({index, attempt})) {
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -29,6 +29,7 @@
   int mute_above = 0;         // never answers a request beyond this many in flight; 0: no limit
   core::duration cold_for{};  // remaining cold time, reported in heartbeats
   bool is_draining = false;
+  core::gateway::upstream_notice notice; // in every answer
 };
 
 class gateway_fleet {
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -180,6 +180,17 @@
   const gateway::run_request copy = wire::decode_run_request(wire::encode(request));
   cr_assert_eq(copy.content.message.body, request.content.message.body);
   cr_assert_eq(copy.rollout_share_permille, -1);
+  cr_assert_not(copy.stated_rate_limit.has_value());
+  request.stated_rate_limit = 0.0;
+  cr_assert(wire::decode_run_request(wire::encode(request)).stated_rate_limit == 0.0);
+  gateway::run_result result;
+  cr_assert_not(wire::decode_run_result(wire::encode(result)).notice.has_value());
+  result.notice.emplace();
+  cr_assert(wire::decode_run_result(wire::encode(result)).notice == result.notice);
+  result.notice->rate_limit = 2.5;
+  cr_assert(wire::decode_run_result(wire::encode(result)).notice == result.notice);
+  result.notice->rate_limit = -1.0;
+  cr_assert_throw(wire::decode_run_result(wire::encode(result)), wire::codec_error);
   gateway::peer_report report;
   report.host = "10.0.0.7";
   report.process_epoch = 9;
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -3,6 +3,8 @@
 #include "arbutuslb/runtime/wire/evidence_codec.h"
 #include "arbutuslb/runtime/wire/gateway.pb.h"
 
+#include <cmath>
+
 namespace arbutuslb::runtime::wire {
 namespace {
 
@@ -38,6 +40,13 @@
   return headers;
 }
 
+double checked_rate(double per_second) {
+  if (!std::isfinite(per_second) || per_second < 0) {
+    throw codec_error("rate limit out of range");
+  }
+  return per_second;
+}
+
 } // namespace
 
 std::string encode(const gateway::run_request& value) {
@@ -57,6 +66,9 @@
   out.set_target_time_left(value.target_time_left.count());
   out.set_rollout_share_permille(value.rollout_share_permille);
   out.set_is_repeat(value.is_retry);
+  if (value.stated_rate_limit) {
+    out.set_stated_rate_limit(*value.stated_rate_limit);
+  }
   return out.SerializeAsString();
 }
 
@@ -79,6 +91,9 @@
   value.target_time_left = core::duration{in.target_time_left()};
   value.rollout_share_permille = in.rollout_share_permille();
   value.is_retry = in.is_repeat();
+  if (in.has_stated_rate_limit()) {
+    value.stated_rate_limit = checked_rate(in.stated_rate_limit());
+  }
   return value;
 }
 
@@ -93,6 +108,12 @@
   out.set_retry_after(value.retry_after.count());
   out.set_in_flight(value.in_flight);
   out.set_waiting(static_cast<std::uint32_t>(value.waiting));
+  if (value.notice) {
+    UpstreamNotice& notice = *out.mutable_notice();
+    if (value.notice->rate_limit) {
+      notice.set_rate_limit(*value.notice->rate_limit);
+    }
+  }
   return out.SerializeAsString();
 }
 
@@ -111,6 +132,12 @@
   value.retry_after = core::duration{in.retry_after()};
   value.in_flight = in.in_flight();
   value.waiting = static_cast<int>(in.waiting());
+  if (in.has_notice()) {
+    value.notice.emplace();
+    if (in.notice().has_rate_limit()) {
+      value.notice->rate_limit = checked_rate(in.notice().rate_limit());
+    }
+  }
   return value;
 }
 
@@ -139,7 +166,7 @@
   out.set_in_flight(static_cast<std::uint32_t>(value.in_flight));
   out.set_waiting(static_cast<std::uint32_t>(value.waiting));
   out.set_failed_permille(static_cast<std::uint32_t>(value.failed_permille));
-  out.set_cold_rate(value.cold_rate);
+  out.set_rate_limit(value.rate_limit);
   out.set_mean_latency(value.mean_latency.count());
   for (const gateway::route_latency& item : value.routes) {
     RouteLatency& converted = *out.add_routes();
@@ -178,7 +205,7 @@
   value.in_flight = static_cast<int>(in.in_flight());
   value.waiting = static_cast<int>(in.waiting());
   value.failed_permille = static_cast<int>(in.failed_permille());
-  value.cold_rate = in.cold_rate();
+  value.rate_limit = in.rate_limit();
   value.mean_latency = core::duration{in.mean_latency()};
   for (const RouteLatency& item : in.routes()) {
     value.routes.push_back({item.route_hash(), core::duration{item.mean()}});
