An upstream that says in an answer that it leaves gets no more requests

Callers' side: requests that reach a leaving upstream late are cut off when it exits. Change: the gate takes a leaving answer of the registered incarnation for the beginning of its departure: it refuses, reports it, and records it in the store as it does for a heartbeat. A daemon that has received such an answer remembers the incarnation and does not select it, whatever later reports say; one that starts again under the same id is used. Tests: gateway::an_upstream_that_says_in_an_answer_that_it_leaves_is_used_by_no_daemon_that_knows fails without both parts (after the answer) and without the router's (after a restart of its daemon); one more for an upstream that starts again. Ruled out: telling every daemon in reports that it leaves: reports already say that it is not usable.

--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -479,3 +479,47 @@
     cr_assert(version == std::string("v1"));
   }
 }
+
+// The heartbeat that announces a departure is late, the store is down, and the daemon beside the
+// leaving upstream restarts.
+Test(gateway, an_upstream_that_says_in_an_answer_that_it_leaves_is_used_by_no_daemon_that_knows) {
+  mesh_fixture fixture;
+  fixture.fleet.is_store_down = true;
+  fixture.fleet.upstream(0).notice.is_leaving = true;
+  const auto play = [&fixture](int steps) {
+    for (int i = 0; i < steps; ++i) {
+      fixture.fleet.call(1, "shop.example", "/menu/1");
+      fixture.fleet.run_for(20ms);
+    }
+  };
+  play(50);
+  const std::size_t before = fixture.fleet.starts[0].size();
+  cr_assert(before > 0);
+  play(100);
+  cr_assert_eq(fixture.fleet.starts[0].size(), before, "after the answer");
+  fixture.fleet.restart(0);
+  play(150);
+  cr_assert_eq(fixture.fleet.starts[0].size(), before, "after a restart of its daemon");
+}
+
+Test(gateway, an_upstream_that_starts_again_after_it_has_left_is_used) {
+  mesh_fixture fixture;
+  fixture.fleet.upstream(0).notice.is_leaving = true;
+  for (int i = 0; i < 20; ++i) {
+    fixture.fleet.call(1, "shop.example", "/menu/1");
+    fixture.fleet.run_for(20ms);
+  }
+  fixture.fleet.upstream(0).notice.is_leaving = false;
+  const std::size_t before = fixture.fleet.starts[0].size();
+  for (int i = 0; i < 200; ++i) {
+    if (i % 50 == 0) {
+      gateway::heartbeat next = fixture.fleet.next_heartbeat(0);
+      next.started_ms += 1000;
+      next.sequence = static_cast<std::uint64_t>(i) + 1;
+      fixture.fleet.send_heartbeat(0, next);
+    }
+    fixture.fleet.call(1, "shop.example", "/menu/1");
+    fixture.fleet.run_for(20ms);
+  }
+  cr_assert(fixture.fleet.starts[0].size() > before);
+}
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -247,12 +247,18 @@
   return risk;
 }
 
+bool peer_directory::is_leaving(const host_entry& item) const {
+  const auto found = leaving_.find(item.first);
+  return found != leaving_.end() && found->second.instance_id == item.second.report.instance_id &&
+         item.second.report.upstream_started_ms <= found->second.started_ms;
+}
+
 bool peer_directory::is_eligible(const host_entry& item, const upstream_query& query,
                                  const std::set<std::string>& excluded_domains,
                                  time_point now) const {
   const peer& candidate = item.second;
   const peer_report& report = candidate.report;
-  const bool is_possible = report.is_usable && !report.is_stopping &&
+  const bool is_possible = report.is_usable && !report.is_stopping && !is_leaving(item) &&
                            !excluded_domains.contains(report.domain) &&
                            now >= candidate.excluded_until && query.allows_version(report.version);
   if (!is_possible ||
@@ -328,6 +334,9 @@
 
 void peer_directory::on_notice(const std::string& host, const upstream_incarnation& upstream,
                                const upstream_notice& notice) {
+  if (notice.is_leaving) {
+    leaving_[host] = upstream;
+  }
   const auto found = peers_.find(host);
   if (found != peers_.end()) {
     found->second.answered_by = upstream;
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -151,6 +151,8 @@
   std::pair<std::size_t, std::size_t> ring_position() const;
   bool is_eligible(const host_entry& item, const upstream_query& query,
                    const std::set<std::string>& excluded_domains, time_point now) const;
+  // Returns true if the peer's upstream has told this daemon that it leaves.
+  bool is_leaving(const host_entry& item) const;
   // `typical` is the latency assumed for an upstream that has not measured the route.
   double risk_of(const peer& candidate, const upstream_query& query, duration typical) const;
   // Returns the mean latency of the route over the upstreams that have measured it; if none has,
@@ -161,8 +163,11 @@
   std::string local_domain_;
   std::string local_host_;
   std::map<std::string, peer> peers_; // by host
-  std::uint64_t generation_ = 1;      // incremented when members or their state change
-  std::uint64_t newest_log_end_ = 0;  // highest `operator_log_end` that was ever reported
+  // Upstreams that have told this daemon that they leave, by host: one a host, also of peers that
+  // have been removed, since a departure is final.
+  std::map<std::string, upstream_incarnation> leaving_;
+  std::uint64_t generation_ = 1;     // incremented when members or their state change
+  std::uint64_t newest_log_end_ = 0; // highest `operator_log_end` that was ever reported
   time_point expired_removed_at_{};
   // Caches of what follows from `peers_`.
   mutable std::map<std::string, service_view, std::less<>> views_;
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -173,6 +173,7 @@
   execution& value = executions_.at(token);
   value.attempt = shared_.next_id();
   value.started = shared_.now;
+  value.upstream_started_ms = shared_.registry.upstream()->started_ms;
   tokens_by_attempt_[value.attempt] = token;
   ++shared_.totals.runs;
   send_to_upstream outgoing;
@@ -264,6 +265,12 @@
 
 void upstream_gate::record_notice(const execution& ended, const upstream_notice& notice) {
   stated_limit_.on_answer(notice.rate_limit, ended.started, shared_.now);
+  const upstream_incarnation sender{ended.request.instance_id, ended.upstream_started_ms};
+  if (notice.is_leaving && shared_.registry.on_leaving(sender, shared_.now)) {
+    is_departure_recorded_ = false;
+    shared_.is_report_due = true;
+    refuse_queued("upstream is leaving");
+  }
   if (notice == last_notice_) {
     return;
   }
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -60,7 +60,8 @@
     bool is_local = false;
     std::uint64_t reply_token = 0; // token of the peer's request, or the local attempt
     run_request request;
-    std::uint64_t attempt = 0; // attempt at the upstream; 0 while queued
+    std::uint64_t attempt = 0;            // attempt at the upstream; 0 while queued
+    std::int64_t upstream_started_ms = 0; // incarnation of the upstream that it was sent to
     time_point received_at{};
     time_point started{};
     bool is_abandoned = false; // the requester has disconnected; the result is not sent
--- a/src/arbutuslb/core/gateway/upstream_registry.cc
+++ b/src/arbutuslb/core/gateway/upstream_registry.cc
@@ -104,6 +104,17 @@
   return is_registered;
 }
 
+bool upstream_registry::on_leaving(const upstream_incarnation& upstream, time_point now) {
+  const bool is_ready = upstream_ && upstream_->instance_id == upstream.instance_id &&
+                        upstream_->started_ms == upstream.started_ms &&
+                        upstream_->state == upstream_lifecycle::ready;
+  if (is_ready) {
+    upstream_->state = upstream_lifecycle::draining;
+    set_departure(upstream, now);
+  }
+  return is_ready;
+}
+
 bool upstream_registry::restore_departure(const upstream_incarnation& departed, time_point now) {
   if (departed_) {
     return false;
--- a/src/arbutuslb/core/gateway/upstream_registry.h
+++ b/src/arbutuslb/core/gateway/upstream_registry.h
@@ -62,6 +62,9 @@
   // The upstream deregisters; `departed` returns it from then on. Returns false if it is not the
   // registered one.
   bool on_deregistration(const std::string& instance_id, time_point now);
+  // An answer of this incarnation says that it leaves. Returns false if it is not the registered
+  // one or its departure is known already.
+  bool on_leaving(const upstream_incarnation& upstream, time_point now);
   // Restores a departure that an earlier process of this daemon has recorded. Has no effect if this
   // process has already recorded or restored one; returns false then.
   bool restore_departure(const upstream_incarnation& departed, time_point now);
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -187,6 +187,8 @@
   cr_assert_not(wire::decode_run_result(wire::encode(result)).notice.has_value());
   result.notice.emplace();
   cr_assert(wire::decode_run_result(wire::encode(result)).notice == result.notice);
+  result.notice->is_leaving = true;
+  cr_assert(wire::decode_run_result(wire::encode(result)).notice == result.notice);
   result.notice->rate_limit = 2.5;
   cr_assert(wire::decode_run_result(wire::encode(result)).notice == result.notice);
   result.notice->rate_limit = -1.0;
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -113,6 +113,7 @@
     if (value.notice->rate_limit) {
       notice.set_rate_limit(*value.notice->rate_limit);
     }
+    notice.set_is_leaving(value.notice->is_leaving);
   }
   return out.SerializeAsString();
 }
@@ -134,6 +135,7 @@
   value.waiting = static_cast<int>(in.waiting());
   if (in.has_notice()) {
     value.notice.emplace();
+    value.notice->is_leaving = in.notice().is_leaving();
     if (in.notice().has_rate_limit()) {
       value.notice->rate_limit = checked_rate(in.notice().rate_limit());
     }
