A gate that restarts beside a cold upstream waits a second before it uses its rate

Callers' side: a cold upstream may be flooded and crash after a restart of its daemon. A new process let in the plain cold rate at once, though the previous one may have used up the whole limit within the same second. Tests: gateway::restarts_of_its_daemon_do_not_overload_a_cold_upstream failed before (20 requests in 421 ms, 19 allowed in 1 s), gate::a_cold_upstream_that_started_with_its_daemon_is_used_up_to_its_rate_at_once before as well.

--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -208,3 +208,36 @@
   cr_assert(find<gateway::record_departure>(one.core.handle(gateway::tick{}, start + 300ms)) !=
             nullptr);
 }
+
+Test(gate, a_cold_upstream_that_started_with_its_daemon_is_used_up_to_its_rate_at_once) {
+  const auto count_accepted = [](std::int64_t started_before_daemon_ms) {
+    gateway::gateway_settings values = settings();
+    values.cold_load_factor = 1.5;
+    values.cold_load_extra = 4;
+    gateway::gateway_core core(values, 1, start);
+    core.handle(gateway::peers_discovered{}, start);
+    gateway::operator_records_received records = initial_configuration();
+    auto configuration = std::make_shared<gateway::mesh_configuration>(
+        *std::get<std::shared_ptr<const gateway::mesh_configuration>>(records.records[0].value));
+    configuration->services["menu"].cold_rate = 10;
+    records.records[0].value = std::move(configuration);
+    core.handle(records, start);
+    gateway::heartbeat cold = heartbeat();
+    cold.slots = 100;
+    cold.cold_for = 3s;
+    cold.started_ms = 1'000'000 - started_before_daemon_ms;
+    core.handle(gateway::heartbeat_received{1, cold}, start);
+    int accepted = 0;
+    for (std::uint64_t token = 1; token <= 40; ++token) {
+      gateway::run_requested request;
+      request.token = token;
+      request.content.instance_id = instance;
+      request.content.time_left = 1000ms;
+      const std::vector<gateway::action> actions = core.handle(request, start + 10ms);
+      accepted += find<gateway::send_to_upstream>(actions) != nullptr ? 1 : 0;
+    }
+    return accepted;
+  };
+  cr_assert_eq(count_accepted(80), 17); // 10 * 1.5 + 4 / 2
+  cr_assert_eq(count_accepted(800), 2); // the previous process may have sent 17
+}
--- a/src/arbutuslb/core/gateway/gateway_load_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_load_test.cc
@@ -75,6 +75,35 @@
   }
 }
 
+// Ten daemons in a row are killed beside an upstream that stays cold.
+Test(gateway, restarts_of_its_daemon_do_not_overload_a_cold_upstream) {
+  gateway_fleet fleet(1);
+  fleet.cold_load_factor = 1.5;
+  fleet.cold_load_extra = 4;
+  fleet.add("a", "menu");
+  fleet.add("a", "other");
+  fleet.upstream(0).cold_for = 60s;
+  fleet.publish(configuration(1));
+  fleet.run_for(4s);
+  const arbutuslb::core::time_point began = fleet.now();
+  for (int i = 0; i < 1000; ++i) {
+    if (i % 110 == 69) {
+      fleet.restart(0);
+      fleet.send_heartbeat(0, fleet.next_heartbeat(0));
+    }
+    fleet.call(1, "shop.example", "/menu/1");
+    fleet.run_for(20ms);
+  }
+  const auto& starts = fleet.starts[0];
+  const auto first = std::lower_bound(starts.begin(), starts.end(), began);
+  constexpr int allowed = 10 * 1.5 + 4;
+  for (auto start = first; starts.end() - start > allowed; ++start) {
+    const int span = static_cast<int>((start[allowed] - *start) / 1ms);
+    cr_assert(span >= 1000, "%d requests in %d ms", allowed + 1, span);
+  }
+  cr_assert(starts.end() - first >= 100, "%d requests", static_cast<int>(starts.end() - first));
+}
+
 // Half of the upstreams of a service state that they take 5 requests per second from all daemons.
 Test(gateway,
      an_upstream_that_states_a_limit_is_offered_no_more_even_after_a_restart_of_its_daemon) {
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -22,6 +22,8 @@
 // The upstream of a domain that is no longer withdrawn is treated as cold for this time or until
 // its next heartbeat.
 constexpr std::chrono::seconds assumed_cold_time{3};
+// Minimum time between the last request of a process that ends and the start of the next one.
+constexpr std::chrono::milliseconds min_restart_time{200};
 // Fraction of `cold_load_extra` that is used. The rest allows for requests that reach the upstream
 // later than they were sent.
 constexpr double usable_extra_fraction = 0.5;
@@ -151,13 +153,16 @@
   if (policy == nullptr) {
     return 0;
   }
-  // A new process has not counted the requests that the previous one started in the last second.
-  const bool has_full_window = shared_.now - shared_.started >= rate_window;
-  if (!has_full_window) {
-    return policy->cold_rate;
+  const double extra = usable_extra_fraction * shared_.settings.cold_load_extra;
+  // A process that has just started does not know how much the previous one sent to an upstream
+  // that was running before.
+  const bool may_have_served =
+      shared_.now - shared_.started < rate_window &&
+      upstream->started_ms < to_epoch_milliseconds(shared_.started - min_restart_time);
+  if (may_have_served) {
+    return std::max(extra, min_rate_limit);
   }
-  return policy->cold_rate * shared_.settings.cold_load_factor +
-         usable_extra_fraction * shared_.settings.cold_load_extra;
+  return policy->cold_rate * shared_.settings.cold_load_factor + extra;
 }
 
 double upstream_gate::rate_limit() const {
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -185,6 +185,7 @@
   added.settings.domain = domain;
   added.settings.service = service;
   added.settings.cold_load_factor = cold_load_factor;
+  added.settings.cold_load_extra = cold_load_extra;
   added.settings.upstream_address = added.settings.host + ":80";
   running_now.push_back(0);
   most_running.push_back(0);
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -77,6 +77,7 @@
   std::set<std::pair<std::size_t, std::size_t>> cuts; // partitioned pairs, lower index first
   bool is_store_down = false;
   double cold_load_factor = 1.0; // for daemons that are added later
+  double cold_load_extra = 0.0;  // for daemons that are added later
   std::vector<core::engine::write_event> log;
   std::uint64_t datagrams_between_domains = 0;
 
