--- a/src/arbutuslb/core/gateway/parts_test.cc
+++ b/src/arbutuslb/core/gateway/parts_test.cc
@@ -216,6 +216,15 @@
   cr_assert_not((registry.is_cold(start + 3200ms)));
 }
 
+// The upstream of a domain that is in use again may be cold; the heartbeat was sent before.
+Test(upstream_registry, a_late_heartbeat_does_not_end_the_assumed_cold_time) {
+  upstream_registry registry("10.0.0.1:80");
+  registry.on_heartbeat(make_heartbeat(1), start);
+  registry.assume_cold(start + 3s);
+  registry.on_heartbeat(make_heartbeat(2), start + 500ms);
+  cr_assert(registry.is_cold(start + 1s));
+}
+
 Test(upstream_registry, a_late_heartbeat_does_not_restore_a_deregistered_upstream) {
   upstream_registry registry("10.0.0.1:80");
   registry.on_deregistration("i-1", start);
