--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -231,7 +231,7 @@
   const double mean = static_cast<double>(std::max(report.mean_latency, duration{1}).count());
   double expected = static_cast<double>(service_time.count()) + mean * excess / limit;
   if (report.rate_limit > 0) {
-    // The queue of a cold upstream drains at its rate limit.
+    // The queue of an upstream with a rate limit drains at that rate.
     constexpr double microseconds = 1e6;
     expected += microseconds * load / std::max(1.0, report.rate_limit);
   }
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -20,7 +20,7 @@
 // Minimum retry-after time of a refusal.
 constexpr std::chrono::milliseconds min_retry_after{50};
 // The upstream of a domain that is no longer withdrawn is treated as cold for this time or until
-// its next heartbeat.
+// shortly after its next heartbeat.
 constexpr std::chrono::seconds assumed_cold_time{3};
 // Minimum time between the last request of a process that ends and the start of the next one.
 constexpr std::chrono::milliseconds min_restart_time{200};
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -85,12 +85,13 @@
   void advance_departure();
   void send_acknowledgements(const std::string& reason);
   void record_completion(const execution& ended, const attempt_completed& end);
+  // Takes over the limit or the departure that the upstream states.
   void record_notice(const execution& ended, const upstream_notice& notice);
   // Takes note of a request that the upstream has not answered.
   void record_silence(const execution& ended);
   void update_limits();
-  // Returns the rate limit of the upstream in requests per second; zero if there is none, because
-  // the upstream is not cold or its service is not configured.
+  // Returns the rate limit that follows from the cold time of the upstream, in requests per second;
+  // zero if there is none, because the upstream is not cold or its service is not configured.
   double cold_rate() const;
   // Returns the lower of the cold rate and the limit that the upstream states; zero if there is
   // neither.
