Log the era of the store, reads of the operators' log, and records that are ignored

Cause: the logs of the incident could not tell a record that was never read from one that was read and ignored. Change: reads and the events orders_read and order_ignored carry the era that the store states, the end of the log and the reason; no decision changes. Ruled out: that the readers take the record and others do not fetch it.

--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -184,7 +184,13 @@
           engine::severity::error, "order_unreadable",
           {{"key", key}, {"offset", std::to_string(offset)}, {"reason", unreadable->reason}});
     }
-    if (!shared_.operator_records.apply(std::move(record))) {
+    const apply_result result = shared_.operator_records.apply(std::move(record));
+    if (result != apply_result::applied) {
+      shared_.write(engine::severity::info, "order_ignored",
+                    {{"key", key},
+                     {"offset", std::to_string(offset)},
+                     {"end", std::to_string(shared_.operator_records.end_offset())},
+                     {"reason", to_string(result)}});
       continue;
     }
     has_changes = true;
--- a/src/arbutuslb/core/gateway/operator_state.cc
+++ b/src/arbutuslb/core/gateway/operator_state.cc
@@ -2,25 +2,39 @@
 
 namespace arbutuslb::core::gateway {
 
-bool operator_state::apply(operator_record record) {
+const char* to_string(apply_result value) {
+  switch (value) {
+  case apply_result::applied:
+    return "applied";
+  case apply_result::unreadable:
+    return "unreadable";
+  case apply_result::superseded:
+    return "superseded";
+  case apply_result::older_version:
+    return "older_version";
+  }
+  return "unknown";
+}
+
+apply_result operator_state::apply(operator_record record) {
   const auto found = records_.find(record.key);
   if (found != records_.end() && found->second.offset >= record.offset) {
-    return false;
+    return apply_result::superseded;
   }
   advance_to(record.offset + 1);
   if (std::holds_alternative<unreadable_record>(record.value)) {
-    return false;
+    return apply_result::unreadable;
   }
   if (const auto* published =
           std::get_if<std::shared_ptr<const mesh_configuration>>(&record.value)) {
     if (configuration_ && (*published)->version <= configuration_->version) {
-      return false;
+      return apply_result::older_version;
     }
     configuration_ = *published;
   }
   records_[record.key] = std::move(record);
   rebuild_derived();
-  return true;
+  return apply_result::applied;
 }
 
 void operator_state::rebuild_derived() {
--- a/src/arbutuslb/core/gateway/operator_state.h
+++ b/src/arbutuslb/core/gateway/operator_state.h
@@ -42,10 +42,18 @@
   record_value value;
 };
 
+enum class apply_result : std::uint8_t {
+  applied,
+  unreadable,
+  superseded,   // a record of the key with the same or a higher offset was applied before
+  older_version // the configuration in force has the same or a higher version
+};
+const char* to_string(apply_result value);
+
 class operator_state {
 public:
-  // Applies a record. Returns false if it is not newer than the stored state or is unreadable.
-  bool apply(operator_record record);
+  // Applies a record if it is readable and newer than the stored state.
+  apply_result apply(operator_record record);
 
   // Returns the offset after the last record received.
   std::uint64_t end_offset() const noexcept { return end_offset_; }
--- a/src/arbutuslb/platform/store_client.cc
+++ b/src/arbutuslb/platform/store_client.cc
@@ -5,6 +5,7 @@
 #include <boost/archive/iterators/binary_from_base64.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 #include <boost/endian/conversion.hpp>
+#include <charconv>
 
 namespace arbutuslb::platform {
 namespace {
@@ -25,6 +26,8 @@
 // The store closes idle connections only after a long time. A call that fails because the
 // connection was closed is repeated by its caller.
 constexpr std::chrono::seconds max_connection_idle{5};
+// States how often the store has come back from an older copy.
+constexpr const char* era_header = "Store-Era";
 constexpr std::size_t length_size = 4;
 constexpr std::size_t read_header_size = 16; // end offset and first offset
 
@@ -99,11 +102,24 @@
   return std::string(length.begin(), length.end()) + content;
 }
 
+// Returns zero if the answer states no era.
+std::uint64_t decode_era(const core::http_response& answer) {
+  const std::string* text = core::find_header(answer.headers, era_header);
+  std::uint64_t era = 0;
+  if (text != nullptr) {
+    const char* const end = text->data() + text->size();
+    const std::from_chars_result parsed = std::from_chars(text->data(), end, era);
+    era = parsed.ec == std::errc{} && parsed.ptr == end ? era : 0;
+  }
+  return era;
+}
+
 read_result failed_read(const http::exchange_result& exchange) {
   read_result result;
   result.reason = exchange.outcome == http::exchange_outcome::answered
                       ? "status " + std::to_string(exchange.answer.status)
                       : "no answer";
+  result.era = decode_era(exchange.answer);
   return result;
 }
 
@@ -188,6 +204,7 @@
       read_page(topic, last_key, std::move(partial_result), std::move(on_result));
       return;
     }
+    partial_result.era = decode_era(exchange.answer);
     partial_result.status = read_status::ok;
     on_result(std::move(partial_result));
   };
@@ -207,6 +224,7 @@
         exchange.answer.status == status_gone) {
       read_result expired;
       expired.status = read_status::expired;
+      expired.era = decode_era(exchange.answer);
       on_result(std::move(expired));
       return;
     }
@@ -215,7 +233,9 @@
       on_result(failed_read(exchange));
       return;
     }
-    on_result(decode_records(exchange.answer.body, from_offset));
+    read_result result = decode_records(exchange.answer.body, from_offset);
+    result.era = decode_era(exchange.answer);
+    on_result(std::move(result));
   };
   return send_request(std::move(request), wait + call_timeout, on_answer);
 }
--- a/src/arbutuslb/platform/store_client.h
+++ b/src/arbutuslb/platform/store_client.h
@@ -26,6 +26,8 @@
   std::string reason; // why the read failed; empty unless `failed`
   std::vector<store_record> records;
   std::uint64_t end_offset = 0;
+  // Rises each time the store comes back from an older copy of itself; zero if it states none.
+  std::uint64_t era = 0;
 };
 
 enum class append_status : std::uint8_t {
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -320,6 +320,13 @@
   // --- the store and the operator records ---
 
   void take_operator_records(platform::read_result read, bool is_complete) {
+    if (is_complete || !read.records.empty()) {
+      write_event(core::engine::severity::info, "orders_read",
+                  {{"era", std::to_string(read.era)},
+                   {"complete", is_complete ? "true" : "false"},
+                   {"records", std::to_string(read.records.size())},
+                   {"end", std::to_string(read.end_offset)}});
+    }
     gateway::operator_records_received operator_records;
     operator_records.end_offset = read.end_offset;
     operator_records.is_complete = is_complete;
