Two failing tests of a store that comes back from an older copy; the stand-ins learn the restore

What callers saw: a confirmed configuration was not in force, while readers called the store without a pause. Change: platform_store::restore drops what was appended within a time, raises the era in all answers and answers 410 to reads beyond its end; gateway_fleet::restore_store does the same in the simulated fleet.

--- /dev/null
+++ b/src/arbutuslb/core/gateway/store_restore_test.cc
@@ -0,0 +1,29 @@
+// Tests of what a fleet does when the store comes back from an older copy of itself.
+
+#include "arbutuslb/core/gateway/gateway_test_mesh.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+std::uint64_t version_of(gateway_fleet& fleet, std::size_t at) {
+  return fleet.daemon(at).operator_records().configuration()->version;
+}
+
+} // namespace
+
+Test(store_restore, a_configuration_at_an_offset_that_is_assigned_again_is_in_force) {
+  mesh_fixture fixture;
+  for (std::uint64_t version = 2; version <= 4; ++version) {
+    fixture.fleet.publish(configuration(version));
+    fixture.fleet.run_for(500ms);
+  }
+  fixture.fleet.restore_store(1);
+  fixture.fleet.publish(configuration(4));
+  fixture.fleet.run_for(1s);
+  fixture.fleet.publish(configuration(5));
+  fixture.fleet.run_for(1500ms);
+  for (std::size_t at = 0; at < 8; ++at) {
+    cr_assert_eq(version_of(fixture.fleet, at), 5);
+  }
+}
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -239,6 +239,34 @@
   after(default_delay, [this, index, operator_records] { handle(index, operator_records); });
 }
 
+void gateway_fleet::deliver_newest(std::size_t index) {
+  std::map<std::string, gateway::operator_record> newest;
+  for (const gateway::operator_record& record : log_) {
+    newest[record.key] = record;
+  }
+  gateway::operator_records_received received;
+  received.is_complete = true;
+  received.end_offset = log_.size();
+  for (const auto& [key, record] : newest) {
+    if (!std::holds_alternative<gateway::record_removed>(record.value)) {
+      received.records.push_back(record);
+    }
+  }
+  nodes_[index].log_position = log_.size();
+  after(default_delay, [this, index, received] { handle(index, received); });
+}
+
+void gateway_fleet::restore_store(std::size_t kept) {
+  log_.resize(kept);
+  for (std::size_t index = 0; index < nodes_.size(); ++index) {
+    if (nodes_[index].follows_log) {
+      deliver_newest(index);
+    } else {
+      nodes_[index].log_position = std::min(nodes_[index].log_position, log_.size());
+    }
+  }
+}
+
 void gateway_fleet::handle(std::size_t index, gateway::event value) {
   if (exited.contains(index)) {
     return;
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -41,6 +41,8 @@
   // Both append a record to the operator log; that of `publish` is a configuration.
   void publish(std::shared_ptr<const core::gateway::mesh_configuration> configuration);
   void order(const std::string& key, core::gateway::record_value value);
+  // The store comes back from a copy with the first `kept` records of the operator log.
+  void restore_store(std::size_t kept);
 
   void run_for(core::duration time);
   // Sends a request of a local caller to daemon `index`. Returns its token; the answer appears in
@@ -102,6 +104,8 @@
   void start_core(std::size_t index);
   void emit_heartbeat(std::size_t index);
   void deliver_log(std::size_t index);
+  // Delivers the newest record of each key.
+  void deliver_newest(std::size_t index);
 
   core::time_point now_;
   core::random_source random_;
--- a/src/arbutuslb/fakes/platform_store.cc
+++ b/src/arbutuslb/fakes/platform_store.cc
@@ -14,6 +14,7 @@
 
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
+constexpr int status_gone = 410;
 constexpr int status_precondition_failed = 412;
 constexpr int status_unavailable = 503;
 constexpr std::size_t length_size = 4;
@@ -85,6 +86,7 @@
   core::http_response answer;
   answer.status = status;
   answer.body = std::move(body);
+  answer.headers.emplace_back("Store-Era", std::to_string(era_));
   if (faults_.delay == core::duration::zero()) {
     server_.respond(token, answer);
     return;
@@ -93,6 +95,7 @@
 }
 
 void platform_store::on_request(std::uint64_t token, const core::http_request& request) {
+  ++calls_;
   if (faults_.is_silent) {
     return;
   }
@@ -139,14 +142,29 @@
     std::string content = body.substr(position + length_size, size);
     position += length_size + size;
     std::string key = content.substr(1, static_cast<unsigned char>(content.front()));
-    records.push_back({std::move(key), std::move(content)});
+    records.push_back({std::move(key), std::move(content), std::chrono::steady_clock::now()});
   }
   answer_pending_reads(query.at("topic"));
   return status_ok;
 }
 
+void platform_store::restore(core::duration age) {
+  const std::chrono::steady_clock::time_point copied = std::chrono::steady_clock::now() - age;
+  for (auto& [topic, records] : topics_) {
+    std::erase_if(records, [&](const record& item) { return item.appended_at > copied; });
+  }
+  ++era_;
+  for (const pending_read& item : std::exchange(pending_reads_, {})) {
+    respond(item.token, status_unavailable, "");
+  }
+}
+
 void platform_store::read(std::uint64_t token, const parameters& query) {
   const pending_read pending{token, query.at("topic"), std::stoull(query.at("from"))};
+  if (pending.from > topics_[pending.topic].size()) {
+    respond(token, status_gone, json{{"firstOffset", 0}}.dump());
+    return;
+  }
   if (pending.from < topics_[pending.topic].size()) {
     answer_read(pending);
     return;
--- a/src/arbutuslb/fakes/platform_store.h
+++ b/src/arbutuslb/fakes/platform_store.h
@@ -1,6 +1,7 @@
 // Stand-in for the platform's store over HTTP: append-only topics of keyed records.
 //
-// Faults can be injected: unavailability, delay, lost answers, and appends that take effect late.
+// Faults can be injected: unavailability, delay, lost answers, appends that take effect late, and
+// the return from an older copy, after which offsets are assigned again and the era has risen.
 //
 //   platform_store store(loop, address);
 //   store.faults().is_down = true;
@@ -36,6 +37,10 @@
   ~platform_store();
 
   store_faults& faults() { return faults_; }
+  // Drops the records that were appended within `age`, as if the store had come back from a copy.
+  void restore(core::duration age);
+  // Returns the number of requests received.
+  std::uint64_t calls() const noexcept { return calls_; }
   // Checks the time limits of the HTTP server. Call it at least four times a second.
   void sweep(core::time_point now) { server_.sweep(now); }
 
@@ -43,6 +48,7 @@
   struct record {
     std::string key;
     std::string content; // encoded as appended: length of the key (1 byte), key, value
+    std::chrono::steady_clock::time_point appended_at{};
   };
   struct pending_read {
     std::uint64_t token = 0;
@@ -66,6 +72,8 @@
   store_faults faults_;
   std::map<std::string, std::vector<record>> topics_;
   std::vector<pending_read> pending_reads_;
+  std::uint64_t era_ = 1;
+  std::uint64_t calls_ = 0;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
   runtime::http::server server_;
 };
--- /dev/null
+++ b/src/arbutuslb/runtime/order_follower_test.cc
@@ -0,0 +1,88 @@
+// Tests of the follower of the operators' log against the stand-in store on loopback.
+
+#include "arbutuslb/fakes/platform_store.h"
+#include "arbutuslb/platform/orders.h"
+#include "arbutuslb/runtime/order_follower.h"
+
+#include <asio/ip/tcp.hpp>
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using arbutuslb::fakes::platform_store;
+namespace platform = arbutuslb::platform;
+namespace runtime = arbutuslb::runtime;
+using asio::ip::tcp;
+
+tcp::endpoint free_address(asio::io_context& loop) {
+  tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
+  return probe.local_endpoint();
+}
+
+// A follower of the log of a stand-in store, and what it has delivered.
+struct follower_fixture {
+  follower_fixture()
+      : address(free_address(loop)), store(loop, address, 1), connections(loop),
+        client(connections, address),
+        follower(
+            loop, client, 1,
+            [this](const platform::read_result& read, bool) {
+              for (const platform::store_record& item : read.records) {
+                values[item.key] = item.value;
+              }
+            },
+            [](bool, const std::string&) {}) {}
+
+  void append(const std::string& key, const std::string& value) {
+    bool is_done = false;
+    client.append(platform::operator_topic, key, value, std::nullopt,
+                  [&](const platform::append_result&) { is_done = true; });
+    run_until([&] { return is_done; });
+  }
+  // Runs the event loop until `is_done` holds; gives up after a number of events.
+  bool run_until(const std::function<bool()>& is_done) {
+    constexpr int max_events = 20000;
+    for (int i = 0; i < max_events && !is_done(); ++i) {
+      loop.run_one_for(50ms);
+      loop.restart();
+    }
+    return is_done();
+  }
+  bool has(const std::string& key, const std::string& value) const {
+    const auto found = values.find(key);
+    return found != values.end() && found->second == value;
+  }
+
+  asio::io_context loop;
+  tcp::endpoint address;
+  platform_store store;
+  runtime::http::client connections;
+  platform::store_client client;
+  std::map<std::string, std::string> values; // delivered, by key
+  runtime::order_follower follower;
+};
+
+} // namespace
+
+Test(order_follower, a_log_that_is_shorter_after_a_restore_is_followed_without_extra_calls) {
+  follower_fixture fixture;
+  for (const char* value : {"1", "2", "3", "4"}) {
+    fixture.append("config", value);
+  }
+  fixture.follower.set_following(true);
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "4"); }));
+  fixture.store.restore(1h);
+  fixture.append("config", "5");
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "5"); }));
+  const std::uint64_t before = fixture.store.calls();
+  for (int i = 0; i < 20; ++i) {
+    fixture.loop.run_for(20ms);
+    fixture.loop.restart();
+  }
+  fixture.append("config", "6");
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "6"); }));
+  constexpr std::uint64_t max_calls = 5; // the append, and the reads before and after it
+  cr_assert(fixture.store.calls() - before <= max_calls, "%lu calls",
+            fixture.store.calls() - before);
+}
