A reader of the operators' log starts again from the newest records in a new era of the store

Cause: the read position was the larger of the former one and the end of the log. After a restore the end is lower: each read got 410, the newest records were read, and the position stayed beyond the end. Once the log had grown past it, records were skipped. Change: a position is an era and an offset (log_position). An answer of another era than the position's makes the follower read the newest records, whose end replaces the position; positions that are invalid time and again are tried with backoff.

--- a/src/arbutuslb/platform/store_client.cc
+++ b/src/arbutuslb/platform/store_client.cc
@@ -88,6 +88,7 @@
     at += size;
     ++offset;
   }
+  result.next_offset = offset;
   result.status = read_status::ok;
   return result;
 }
--- a/src/arbutuslb/platform/store_client.h
+++ b/src/arbutuslb/platform/store_client.h
@@ -25,7 +25,8 @@
   read_status status = read_status::failed;
   std::string reason; // why the read failed; empty unless `failed`
   std::vector<store_record> records;
-  std::uint64_t end_offset = 0;
+  std::uint64_t end_offset = 0;  // of the log
+  std::uint64_t next_offset = 0; // after the last record that `read_from` has passed
   // Rises each time the store comes back from an older copy of itself; zero if it states none.
   std::uint64_t era = 0;
 };
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -411,7 +411,7 @@
                   {{"reason", error.what()}});
       return;
     }
-    follower.skip_to(operator_records.end_offset);
+    follower.skip_to({0, operator_records.end_offset});
     apply_operator_records(std::move(operator_records));
   }
 
--- a/src/arbutuslb/runtime/order_follower.cc
+++ b/src/arbutuslb/runtime/order_follower.cc
@@ -42,8 +42,8 @@
   store_.cancel(long_poll_);
 }
 
-void order_follower::skip_to(std::uint64_t end_offset) {
-  next_offset_ = std::max(next_offset_, end_offset);
+void order_follower::skip_to(const core::gateway::log_position& end) {
+  next_ = std::max(next_, end);
   has_newest_records_ = true;
 }
 
@@ -57,9 +57,8 @@
 
 void order_follower::read_newest() {
   is_active_ = true;
-  store_.read_newest(platform::operator_topic, [this](platform::read_result result) {
-    on_read_result(std::move(result), true);
-  });
+  store_.read_newest(platform::operator_topic,
+                     [this](platform::read_result result) { on_newest(std::move(result)); });
 }
 
 void order_follower::read_new_records() {
@@ -68,38 +67,59 @@
     return;
   }
   is_active_ = true;
-  long_poll_ = store_.read_from(platform::operator_topic, next_offset_, long_poll_wait,
-                                [this](platform::read_result result) {
+  long_poll_ = store_.read_from(platform::operator_topic, next_.offset, long_poll_wait,
+                                [this, from = next_](platform::read_result result) {
                                   long_poll_ = 0;
-                                  on_read_result(std::move(result), false);
+                                  on_new_records(from, std::move(result));
                                 });
 }
 
-void order_follower::on_read_result(platform::read_result result, bool is_complete) {
-  if (is_stopped_) {
+bool order_follower::check(platform::read_result& result) {
+  if (result.status == platform::read_status::failed) {
+    schedule_retry(result.reason);
+    return false;
+  }
+  if (result.era == 0) {
+    result.era = next_.era; // the answer states none
+  }
+  if (result.era < next_.era) {
+    schedule_retry("answer of an earlier era");
+    return false;
+  }
+  return true;
+}
+
+void order_follower::on_newest(platform::read_result result) {
+  if (is_stopped_ || !check(result)) {
     return;
   }
-  if (result.status == platform::read_status::expired) {
-    read_newest();
+  has_newest_records_ = true;
+  next_ = {result.era, result.end_offset};
+  deliver(std::move(result), true);
+}
+
+void order_follower::on_new_records(const core::gateway::log_position& from,
+                                    platform::read_result result) {
+  if (is_stopped_ || !check(result)) {
     return;
   }
-  if (result.status == platform::read_status::failed) {
-    schedule_retry(result.reason);
+  if (result.status == platform::read_status::expired || result.era != from.era) {
+    has_newest_records_ = false;
+    schedule(backoff_after(invalid_positions_++), &order_follower::read_newest);
     return;
   }
+  invalid_positions_ = 0;
+  next_ = std::max(next_, {result.era, result.next_offset});
+  deliver(std::move(result), false);
+}
+
+void order_follower::deliver(platform::read_result result, bool is_complete) {
   failures_ = 0;
   if (!is_reachable_) {
     is_reachable_ = true;
     on_reachability_change_(true, "");
   }
-  has_newest_records_ = has_newest_records_ || is_complete;
   const bool has_records = !result.records.empty();
-  for (const platform::store_record& record : result.records) {
-    next_offset_ = std::max(next_offset_, record.offset + 1);
-  }
-  if (is_complete) {
-    next_offset_ = std::max(next_offset_, result.end_offset);
-  }
   on_records_(std::move(result), is_complete);
   schedule(has_records && !is_complete ? core::duration{batching_delay} : core::duration::zero(),
            &order_follower::read_new_records);
@@ -110,11 +130,18 @@
     is_reachable_ = false;
     on_reachability_change_(false, reason);
   }
-  const int doublings = std::min(failures_++, 3);
+  schedule(backoff_after(++failures_),
+           has_newest_records_ ? &order_follower::read_new_records : &order_follower::read_newest);
+}
+
+core::duration order_follower::backoff_after(int failures) {
+  if (failures == 0) {
+    return core::duration::zero();
+  }
+  const int doublings = std::min(failures - 1, 3);
   const core::duration backoff =
       std::min<core::duration>(initial_backoff * (1 << doublings), max_backoff);
-  schedule(backoff / 2 + random_.jitter(backoff),
-           has_newest_records_ ? &order_follower::read_new_records : &order_follower::read_newest);
+  return backoff / 2 + random_.jitter(backoff);
 }
 
 void order_follower::schedule(core::duration delay, void (order_follower::*next)()) {
--- a/src/arbutuslb/runtime/order_follower.h
+++ b/src/arbutuslb/runtime/order_follower.h
@@ -1,9 +1,10 @@
 // Follows the operator records in the store: reads the newest record of each key, then the log as
 // it grows, and passes the records to a handler. Failed reads are retried with exponential backoff
-// and jitter.
+// and jitter. In a new era of the store, the newest records are read again.
 #pragma once
 
 #include "arbutuslb/core/base/random.h"
+#include "arbutuslb/core/gateway/log_position.h"
 #include "arbutuslb/platform/store_client.h"
 
 #include <asio/steady_timer.hpp>
@@ -26,8 +27,8 @@
   void start();
   // Sets whether to continue reading as the log grows. The newest records are read in any case.
   void set_following(bool is_enabled);
-  // The records before `end_offset` were received from another source; the next read skips them.
-  void skip_to(std::uint64_t end_offset);
+  // The records before `end` were received from another source; the next read skips them.
+  void skip_to(const core::gateway::log_position& end);
   // Sends the pending long poll again; does nothing if there is none. Call this when the log is
   // known to have more records than were read: the connection of the long poll may be dead.
   void restart();
@@ -36,7 +37,14 @@
 private:
   void read_newest();
   void read_new_records();
-  void on_read_result(platform::read_result result, bool is_complete);
+  void on_newest(platform::read_result result);
+  // `from` is the position that was read from.
+  void on_new_records(const core::gateway::log_position& from, platform::read_result result);
+  // Returns false if the read has failed; another one is scheduled then.
+  bool check(platform::read_result& result);
+  void deliver(platform::read_result result, bool is_complete);
+  // Returns the delay before the next read after `failures` failed ones in a row.
+  core::duration backoff_after(int failures);
   void schedule_retry(const std::string& reason);
   void schedule(core::duration delay, void (order_follower::*next)());
 
@@ -45,9 +53,10 @@
   records_handler on_records_;
   reachability_handler on_reachability_change_;
   asio::steady_timer timer_;
-  std::uint64_t long_poll_ = 0; // request id of the pending long poll; 0 if there is none
-  std::uint64_t next_offset_ = 0;
-  int failures_ = 0;
+  std::uint64_t long_poll_ = 0;      // request id of the pending long poll; 0 if there is none
+  core::gateway::log_position next_; // the next record to read
+  int failures_ = 0;                 // failed reads in a row
+  int invalid_positions_ = 0;        // reads in a row from a position that the store does not have
   bool is_following_ = false;
   bool is_active_ = false; // a read is pending or scheduled
   bool has_newest_records_ = false;
