Operator records are ordered by the era of the store and the offset in it

Cause: records, the ends that peers report, and what peers fetch were compared by offset alone. After a restore offsets are given out again: a new record had the offset of an earlier one of its key and was ignored by every daemon. The class: an offset was taken for an identity and an order, though the store may begin to count again. Change: log_position, an era and an offset, in operator_state, events, reports, fetches and the wire (new fields; era 0 is a store or a daemon that states none, so the former order holds between such).

--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -57,11 +57,11 @@
   std::uint64_t token = 0;
   std::string instance_id;
 };
-// Operator records in order of their offsets.
+// Operator records in order of their positions.
 struct operator_records_received {
   std::vector<operator_record> records;
-  std::uint64_t end_offset = 0; // of the operators' log when the records were read
-  bool is_complete = false;     // the records include the newest one of every key
+  log_position end;         // of the operators' log when the records were read
+  bool is_complete = false; // the records include the newest one of every key
 };
 // Reports received in one datagram; they may describe other daemons than the sender.
 struct reports_received {
@@ -148,10 +148,10 @@
 struct follow_operator_log {
   bool is_enabled = false;
 };
-// Fetches the operator records from `from_offset` on from a peer.
+// Fetches the operator records from `from` on from a peer.
 struct fetch_operator_records {
   std::string host;
-  std::uint64_t from_offset = 0;
+  log_position from;
 };
 // Registers this daemon in the store and reads the list of registered daemons.
 struct discover_peers {};
--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -41,8 +41,8 @@
   route.split = {{"menu", 1.0}};
   configuration->routes["shop.example"]["/menu/"] = route;
   gateway::operator_records_received value;
-  value.records.push_back({0, "config", "", std::move(configuration)});
-  value.end_offset = 1;
+  value.records.push_back({{0, 0}, "config", "", std::move(configuration)});
+  value.end.offset = 1;
   return value;
 }
 
@@ -106,8 +106,8 @@
 Test(gate, refuses_requests_while_its_domain_is_withdrawn) {
   tested_daemon one;
   gateway::operator_records_received withdrawal;
-  withdrawal.records.push_back({1, "evacuate/a", "", gateway::domain_withdrawal{"a"}});
-  withdrawal.end_offset = 2;
+  withdrawal.records.push_back({{0, 1}, "evacuate/a", "", gateway::domain_withdrawal{"a"}});
+  withdrawal.end.offset = 2;
   one.core.handle(withdrawal, start);
   cr_assert(is_refused(one.run()));
 }
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -178,26 +178,26 @@
   bool has_changes = false;
   for (operator_record& record : value.records) {
     const std::string key = record.key;
-    const std::uint64_t offset = record.offset;
+    const log_position position = record.position;
     if (const auto* unreadable = std::get_if<unreadable_record>(&record.value)) {
       shared_.write(
           engine::severity::error, "order_unreadable",
-          {{"key", key}, {"offset", std::to_string(offset)}, {"reason", unreadable->reason}});
+          {{"key", key}, {"position", to_string(position)}, {"reason", unreadable->reason}});
     }
     const apply_result result = shared_.operator_records.apply(std::move(record));
     if (result != apply_result::applied) {
       shared_.write(engine::severity::info, "order_ignored",
                     {{"key", key},
-                     {"offset", std::to_string(offset)},
-                     {"end", std::to_string(shared_.operator_records.end_offset())},
+                     {"position", to_string(position)},
+                     {"end", to_string(shared_.operator_records.end())},
                      {"reason", to_string(result)}});
       continue;
     }
     has_changes = true;
     shared_.write(engine::severity::info, "order_applied",
-                  {{"key", key}, {"offset", std::to_string(offset)}});
+                  {{"key", key}, {"position", to_string(position)}});
   }
-  shared_.operator_records.advance_to(value.end_offset);
+  shared_.operator_records.advance_to(value.end);
   if (has_changes) {
     rollouts_.on_operator_records();
     gate_.on_operator_records();
@@ -222,13 +222,13 @@
     is_reader_ = is_selected;
     shared_.write(engine::severity::info, "reader_changed",
                   {{"is_reader", is_reader_ ? "true" : "false"},
-                   {"orders_end", std::to_string(shared_.operator_records.end_offset())}});
+                   {"orders_end", to_string(shared_.operator_records.end())}});
     shared_.add_action(follow_operator_log{is_reader_});
   }
 }
 
 void gateway_core::fetch_missing_records() {
-  const std::uint64_t end = shared_.operator_records.end_offset();
+  const log_position end = shared_.operator_records.end();
   if (!shared_.directory.peer_with_newer_records(end, true, shared_.now, shared_.random)) {
     behind_since_ = {};
     return;
@@ -263,7 +263,7 @@
   report.is_stopping = shared_.is_stopping;
   gate_.describe(report);
   report.operator_log_end =
-      shared_.operator_records.configuration() ? shared_.operator_records.end_offset() : 0;
+      shared_.operator_records.configuration() ? shared_.operator_records.end() : log_position{};
   report.rollouts = rollouts_.progress();
   report.is_store_reachable = is_store_reachable_;
   report.capacity_weight = shared_.settings.capacity_weight;
--- a/src/arbutuslb/core/gateway/operator_state.cc
+++ b/src/arbutuslb/core/gateway/operator_state.cc
@@ -18,10 +18,10 @@
 
 apply_result operator_state::apply(operator_record record) {
   const auto found = records_.find(record.key);
-  if (found != records_.end() && found->second.offset >= record.offset) {
+  if (found != records_.end() && found->second.position >= record.position) {
     return apply_result::superseded;
   }
-  advance_to(record.offset + 1);
+  advance_to({record.position.era, record.position.offset + 1});
   if (std::holds_alternative<unreadable_record>(record.value)) {
     return apply_result::unreadable;
   }
@@ -44,7 +44,7 @@
     if (const auto* withdrawal = std::get_if<domain_withdrawal>(&record.value)) {
       withdrawn_.insert(withdrawal->domain);
     } else if (const auto* rollout = std::get_if<rollout_spec>(&record.value)) {
-      rollouts_[rollout->service] = {record.offset, *rollout};
+      rollouts_[rollout->service] = {record.position.offset, *rollout};
     }
   }
 }
--- a/src/arbutuslb/core/gateway/operator_state.h
+++ b/src/arbutuslb/core/gateway/operator_state.h
@@ -1,13 +1,15 @@
 // The state that operators have requested: the newest record of each key in the operators' log.
 //
-// Records are applied in the order of their offsets. A record that is not newer than the stored one
-// of its key is ignored, so duplicated, reordered and late deliveries have no effect.
+// Records are applied in the order of their positions. A record that is not newer than the stored
+// one of its key is ignored, so duplicated, reordered and late deliveries have no effect.
 //
 //   if (state.apply(std::move(record))) { ... }
 #pragma once
 
+#include "arbutuslb/core/gateway/log_position.h"
 #include "arbutuslb/core/gateway/mesh_configuration.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -36,7 +38,7 @@
                                   domain_withdrawal, record_removed, unreadable_record>;
 
 struct operator_record {
-  std::uint64_t offset = 0;
+  log_position position;
   std::string key;
   std::string raw; // compressed stored form, sent to peers unchanged
   record_value value;
@@ -45,7 +47,7 @@
 enum class apply_result : std::uint8_t {
   applied,
   unreadable,
-  superseded,   // a record of the key with the same or a higher offset was applied before
+  superseded,   // a record of the key with the same or a later position was applied before
   older_version // the configuration in force has the same or a higher version
 };
 const char* to_string(apply_result value);
@@ -55,11 +57,9 @@
   // Applies a record if it is readable and newer than the stored state.
   apply_result apply(operator_record record);
 
-  // Returns the offset after the last record received.
-  std::uint64_t end_offset() const noexcept { return end_offset_; }
-  void advance_to(std::uint64_t end_offset) {
-    end_offset_ = end_offset > end_offset_ ? end_offset : end_offset_;
-  }
+  // Returns the position after the last record received.
+  const log_position& end() const noexcept { return end_; }
+  void advance_to(const log_position& end) { end_ = std::max(end_, end); }
 
   // Returns the published configuration; null until the first one is applied.
   const std::shared_ptr<const mesh_configuration>& configuration() const noexcept {
@@ -82,7 +82,7 @@
   void rebuild_derived();
 
   std::map<std::string, operator_record> records_;
-  std::uint64_t end_offset_ = 0;
+  log_position end_;
   std::shared_ptr<const mesh_configuration> configuration_;
   std::set<std::string> withdrawn_;
   std::map<std::string, active_rollout> rollouts_; // by service
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -401,18 +401,18 @@
   return *live_count_;
 }
 
-std::optional<std::string> peer_directory::peer_with_newer_records(std::uint64_t end_offset,
+std::optional<std::string> peer_directory::peer_with_newer_records(const log_position& end,
                                                                    bool allows_remote,
                                                                    time_point now,
                                                                    random_source& random) const {
-  if (newest_log_end_ <= end_offset) {
+  if (newest_log_end_ <= end) {
     return std::nullopt;
   }
   std::vector<std::string> matches;
   for (const auto& [host, candidate] : peers_) {
     const bool is_local = candidate.report.domain == local_domain_;
     if (host != local_host_ && is_live(candidate, now) && (is_local || allows_remote) &&
-        candidate.report.operator_log_end > end_offset) {
+        candidate.report.operator_log_end > end) {
       matches.push_back(host);
     }
   }
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -98,9 +98,9 @@
   duration mean_latency(std::string_view service, time_point now) const;
   // Returns the number of live daemons, including this one. May be `summary_period` old.
   std::size_t live_count(time_point now) const;
-  // Returns a random live peer that has operator records beyond `end_offset`, in the local failure
+  // Returns a random live peer that has operator records beyond `end`, in the local failure
   // domain or, if `allows_remote`, in any. Returns nothing if there is none.
-  std::optional<std::string> peer_with_newer_records(std::uint64_t end_offset, bool allows_remote,
+  std::optional<std::string> peer_with_newer_records(const log_position& end, bool allows_remote,
                                                      time_point now, random_source& random) const;
   // Returns the version of the longest-running upstream of the service; empty if there is none.
   const std::string& oldest_version(std::string_view service) const;
@@ -166,8 +166,8 @@
   // Upstreams that have told this daemon that they leave, by host: one a host, also of peers that
   // have been removed, since a departure is final.
   std::map<std::string, upstream_incarnation> leaving_;
-  std::uint64_t generation_ = 1;     // incremented when members or their state change
-  std::uint64_t newest_log_end_ = 0; // highest `operator_log_end` that was ever reported
+  std::uint64_t generation_ = 1; // incremented when members or their state change
+  log_position newest_log_end_;  // highest `operator_log_end` that was ever reported
   time_point expired_removed_at_{};
   // Caches of what follows from `peers_`.
   mutable std::map<std::string, service_view, std::less<>> views_;
--- a/src/arbutuslb/core/gateway/peer_report.h
+++ b/src/arbutuslb/core/gateway/peer_report.h
@@ -6,6 +6,7 @@
 
 #include "arbutuslb/core/base/ids.h"
 #include "arbutuslb/core/base/time.h"
+#include "arbutuslb/core/gateway/log_position.h"
 #include "arbutuslb/core/protocol/messages.h"
 
 #include <string>
@@ -51,8 +52,8 @@
   double rate_limit = 0;   // of the upstream, in requests per second; zero if there is none
   duration mean_latency{};
   std::vector<route_latency> routes;
-  // Offset after the newest operator record; 0 if the sender has no configuration.
-  std::uint64_t operator_log_end = 0;
+  // Position after the newest operator record; zero if the sender has no configuration.
+  log_position operator_log_end;
   bool is_store_reachable = true; // the store answered the last request, or is due for a retry
   int capacity_weight = 0;        // capacity relative to the weakest instance; used to assign roles
   std::vector<rollout_progress> rollouts;
--- a/src/arbutuslb/core/gateway/store_restore_test.cc
+++ b/src/arbutuslb/core/gateway/store_restore_test.cc
@@ -27,3 +27,14 @@
     cr_assert_eq(version_of(fixture.fleet, at), 5);
   }
 }
+
+Test(store_restore, a_record_of_an_earlier_era_that_arrives_late_is_ignored) {
+  gateway::operator_state state;
+  const gateway::operator_record ordered{{1, 7}, "evacuate/a", "", gateway::domain_withdrawal{"a"}};
+  cr_assert(state.apply({{2, 3}, "evacuate/a", "", gateway::record_removed{}}) ==
+            gateway::apply_result::applied);
+  cr_assert(state.apply(ordered) == gateway::apply_result::superseded);
+  cr_assert_not(state.is_withdrawn("a"));
+  const gateway::log_position end{2, 4};
+  cr_assert(state.end() == end);
+}
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -121,9 +121,9 @@
       return;
     }
     gateway::operator_records_received operator_records;
-    operator_records.end_offset = fleet_ref.nodes_[source].core->operator_records().end_offset();
+    operator_records.end = fleet_ref.nodes_[source].core->operator_records().end();
     for (const auto& [key, record] : fleet_ref.nodes_[source].core->operator_records().records()) {
-      if (record.offset >= action.from_offset) {
+      if (record.position >= action.from) {
         operator_records.records.push_back(record);
       }
     }
@@ -215,7 +215,7 @@
 
 void gateway_fleet::order(const std::string& key, gateway::record_value value) {
   gateway::operator_record record;
-  record.offset = log_.size();
+  record.position = {era_, log_.size()};
   record.key = key;
   record.value = std::move(value);
   log_.push_back(std::move(record));
@@ -234,7 +234,7 @@
   gateway::operator_records_received operator_records;
   operator_records.records.assign(log_.begin() + static_cast<std::ptrdiff_t>(value.log_position),
                                   log_.end());
-  operator_records.end_offset = log_.size();
+  operator_records.end = {era_, log_.size()};
   value.log_position = log_.size();
   after(default_delay, [this, index, operator_records] { handle(index, operator_records); });
 }
@@ -246,7 +246,7 @@
   }
   gateway::operator_records_received received;
   received.is_complete = true;
-  received.end_offset = log_.size();
+  received.end = {era_, log_.size()};
   for (const auto& [key, record] : newest) {
     if (!std::holds_alternative<gateway::record_removed>(record.value)) {
       received.records.push_back(record);
@@ -258,6 +258,10 @@
 
 void gateway_fleet::restore_store(std::size_t kept) {
   log_.resize(kept);
+  ++era_;
+  for (gateway::operator_record& record : log_) {
+    record.position.era = era_;
+  }
   for (std::size_t index = 0; index < nodes_.size(); ++index) {
     if (nodes_[index].follows_log) {
       deliver_newest(index);
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -111,6 +111,7 @@
   core::random_source random_;
   std::vector<node> nodes_;
   std::vector<core::gateway::operator_record> log_;
+  std::uint64_t era_ = 1; // of the store
   std::multimap<core::time_point, std::function<void()>> timers_;
   // Cancelled attempts, as the calling daemon's index and the attempt's number.
   std::set<std::pair<std::size_t, std::uint64_t>> cancelled_;
--- a/src/arbutuslb/platform/orders.cc
+++ b/src/arbutuslb/platform/orders.cc
@@ -180,10 +180,10 @@
   return configuration;
 }
 
-gateway::operator_record decode_operator_record(std::uint64_t offset, std::string key,
-                                                const std::string& value) {
+gateway::operator_record decode_operator_record(const gateway::log_position& position,
+                                                std::string key, const std::string& value) {
   gateway::operator_record record;
-  record.offset = offset;
+  record.position = position;
   try {
     record.value = decode_value(key, value);
   } catch (const findings_error& error) {
--- a/src/arbutuslb/platform/orders.h
+++ b/src/arbutuslb/platform/orders.h
@@ -16,8 +16,8 @@
 
 // Decodes one record; an empty `value` means that the record was removed. A record that cannot be
 // decoded becomes an `unreadable_record` with its findings.
-core::gateway::operator_record decode_operator_record(std::uint64_t offset, std::string key,
-                                                      const std::string& value);
+core::gateway::operator_record decode_operator_record(const core::gateway::log_position& position,
+                                                      std::string key, const std::string& value);
 
 // Decodes a configuration. Throws `core::findings_error` with every finding and its place.
 core::gateway::mesh_configuration decode_configuration(std::string_view text);
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -37,7 +37,7 @@
 }
 
 std::string reason_of(const std::string& text) {
-  const gateway::operator_record record = decode_operator_record(3, "config", text);
+  const gateway::operator_record record = decode_operator_record({1, 3}, "config", text);
   const gateway::unreadable_record* malformed =
       std::get_if<gateway::unreadable_record>(&record.value);
   return malformed == nullptr ? "" : malformed->reason;
@@ -89,12 +89,12 @@
 
 Test(orders, rollouts_withdrawals_and_their_removal) {
   const gateway::operator_record rollout = decode_operator_record(
-      1, "rollout/menu", R"({"service":"menu","targetVersion":"v2","duration":"12s"})");
+      {1, 1}, "rollout/menu", R"({"service":"menu","targetVersion":"v2","duration":"12s"})");
   cr_assert(std::get<gateway::rollout_spec>(rollout.value).time_allowed == 12s);
-  const gateway::operator_record withdrawal = decode_operator_record(2, "evacuate/a", "{}");
+  const gateway::operator_record withdrawal = decode_operator_record({1, 2}, "evacuate/a", "{}");
   cr_assert_eq(std::get<gateway::domain_withdrawal>(withdrawal.value).domain, "a");
   cr_assert(std::holds_alternative<gateway::record_removed>(
-      decode_operator_record(3, "evacuate/a", "").value));
+      decode_operator_record({1, 3}, "evacuate/a", "").value));
   const gateway::record_outcome outcome{"menu", "v2", gateway::rollout_phase::rolled_back, 0};
   const auto copy = decode_outcome(outcome_key("menu"), encode_outcome(outcome));
   cr_assert(copy->phase == gateway::rollout_phase::rolled_back);
@@ -215,6 +215,23 @@
   }
 }
 
+Test(gateway_codec, positions_survive_a_round_trip_with_their_era) {
+  namespace wire = arbutuslb::runtime::wire;
+  const gateway::log_position position{3, 17};
+  gateway::peer_report report;
+  report.operator_log_end = position;
+  const std::string bytes = wire::encode(gateway::report_bundle{{{report, {}}}, {}});
+  cr_assert(wire::decode_reports(bytes, "10.0.0.8").reports[0].content.operator_log_end ==
+            position);
+  cr_assert(wire::decode_operator_records_request(
+                wire::encode_operator_records_request(position)) == position);
+  const wire::operator_records_reply reply = wire::decode_operator_records_reply(
+      wire::encode(wire::operator_records_reply{{{{2, 5}, "config", "x"}}, position}));
+  cr_assert(reply.end == position);
+  const gateway::log_position earlier{2, 5};
+  cr_assert(reply.operator_records.at(0).position == earlier);
+}
+
 Test(gateway_settings, every_fault_is_named_with_its_place) {
   try {
     arbutuslb::runtime::parse_gateway_settings(
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -328,7 +328,7 @@
                    {"end", std::to_string(read.end_offset)}});
     }
     gateway::operator_records_received operator_records;
-    operator_records.end_offset = read.end_offset;
+    operator_records.end = {read.era, read.end_offset};
     operator_records.is_complete = is_complete;
     std::map<std::string, std::uint64_t> newest; // offset by key
     for (const platform::store_record& record : read.records) {
@@ -339,8 +339,8 @@
         continue; // superseded by a newer record of its key; large records take time to decode
       }
       std::string compressed = record.value.empty() ? "" : compress(record.value);
-      operator_records.records.push_back(
-          platform::decode_operator_record(record.offset, std::move(record.key), record.value));
+      operator_records.records.push_back(platform::decode_operator_record(
+          {read.era, record.offset}, std::move(record.key), record.value));
       operator_records.records.back().raw = std::move(compressed);
     }
     apply_operator_records(std::move(operator_records));
@@ -364,12 +364,12 @@
   }
 
   std::string encode_operator_records(const std::string& request) {
-    const std::uint64_t from_offset = wire::decode_operator_records_request(request);
+    const gateway::log_position from = wire::decode_operator_records_request(request);
     wire::operator_records_reply reply;
-    reply.end_offset = core.operator_records().end_offset();
+    reply.end = core.operator_records().end();
     for (const auto& [key, record] : core.operator_records().records()) {
-      if (record.offset >= from_offset) {
-        reply.operator_records.push_back({record.offset, key, record.raw});
+      if (record.position >= from) {
+        reply.operator_records.push_back({record.position, key, record.raw});
       }
     }
     return wire::encode(reply);
@@ -381,7 +381,7 @@
     request.method = "POST";
     request.target = operator_records_path;
     request.headers.emplace_back("Host", action.host);
-    request.body = wire::encode_operator_records_request(action.from_offset);
+    request.body = wire::encode_operator_records_request(action.from);
     http::send_options options;
     options.connect_timeout = peer_connect_timeout;
     options.answer_timeout = fetch_timeout;
@@ -398,12 +398,12 @@
     gateway::operator_records_received operator_records;
     try {
       wire::operator_records_reply reply = wire::decode_operator_records_reply(bytes);
-      operator_records.end_offset = reply.end_offset;
+      operator_records.end = reply.end;
       for (wire::stored_record& stored : reply.operator_records) {
         const std::string value =
             stored.value.empty() ? "" : decompress(stored.value, max_record_bytes);
         operator_records.records.push_back(
-            platform::decode_operator_record(stored.offset, std::move(stored.key), value));
+            platform::decode_operator_record(stored.position, std::move(stored.key), value));
         operator_records.records.back().raw = std::move(stored.value);
       }
     } catch (const std::runtime_error& error) {
@@ -411,7 +411,7 @@
                   {{"reason", error.what()}});
       return;
     }
-    follower.skip_to({0, operator_records.end_offset});
+    follower.skip_to(operator_records.end);
     apply_operator_records(std::move(operator_records));
   }
 
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -175,7 +175,8 @@
     converted.set_route_hash(item.route_hash);
     converted.set_mean(static_cast<std::uint32_t>(item.mean.count()));
   }
-  out.set_orders_end(value.operator_log_end);
+  out.set_orders_end(value.operator_log_end.offset);
+  out.set_orders_era(value.operator_log_end.era);
   for (const gateway::rollout_progress& item : value.rollouts) {
     RolloutProgress& converted = *out.add_rollouts();
     converted.set_id(item.id);
@@ -212,7 +213,7 @@
   for (const RouteLatency& item : in.routes()) {
     value.routes.push_back({item.route_hash(), core::duration{item.mean()}});
   }
-  value.operator_log_end = in.orders_end();
+  value.operator_log_end = {in.orders_era(), in.orders_end()};
   for (const RolloutProgress& item : in.rollouts()) {
     if (item.phase() > max_phase) {
       throw codec_error("rollout phase out of range");
@@ -265,10 +266,12 @@
 
 std::string encode(const operator_records_reply& value) {
   OrdersReply out;
-  out.set_end_offset(value.end_offset);
+  out.set_end_offset(value.end.offset);
+  out.set_era(value.end.era);
   for (const stored_record& item : value.operator_records) {
     StoredOrder& converted = *out.add_orders();
-    converted.set_offset(item.offset);
+    converted.set_offset(item.position.offset);
+    converted.set_era(item.position.era);
     converted.set_key(item.key);
     converted.set_value(item.value);
   }
@@ -278,21 +281,23 @@
 operator_records_reply decode_operator_records_reply(std::string_view bytes) {
   const OrdersReply in = parse<OrdersReply>(bytes);
   operator_records_reply value;
-  value.end_offset = in.end_offset();
+  value.end = {in.era(), in.end_offset()};
   for (const StoredOrder& item : in.orders()) {
-    value.operator_records.push_back({item.offset(), item.key(), item.value()});
+    value.operator_records.push_back({{item.era(), item.offset()}, item.key(), item.value()});
   }
   return value;
 }
 
-std::string encode_operator_records_request(std::uint64_t from_offset) {
+std::string encode_operator_records_request(const gateway::log_position& from) {
   OrdersRequest out;
-  out.set_from_offset(from_offset);
+  out.set_from_offset(from.offset);
+  out.set_era(from.era);
   return out.SerializeAsString();
 }
 
-std::uint64_t decode_operator_records_request(std::string_view bytes) {
-  return parse<OrdersRequest>(bytes).from_offset();
+gateway::log_position decode_operator_records_request(std::string_view bytes) {
+  const OrdersRequest in = parse<OrdersRequest>(bytes);
+  return {in.era(), in.from_offset()};
 }
 
 std::string encode_departure(const gateway::upstream_incarnation& value) {
--- a/src/arbutuslb/runtime/wire/gateway_codec.h
+++ b/src/arbutuslb/runtime/wire/gateway_codec.h
@@ -12,22 +12,22 @@
 
 namespace arbutuslb::runtime::wire {
 
-// An operator record in its stored form, with its offset in the log.
+// An operator record in its stored form, with its position in the log.
 struct stored_record {
-  std::uint64_t offset = 0;
+  core::gateway::log_position position;
   std::string key;
   std::string value;
 };
 struct operator_records_reply {
   std::vector<stored_record> operator_records;
-  std::uint64_t end_offset = 0; // offset after the last record that the sender has received
+  core::gateway::log_position end; // after the last record that the sender has received
 };
 
 std::string encode(const core::gateway::run_request& value);
 std::string encode(const core::gateway::run_result& value);
 std::string encode(const core::gateway::report_bundle& bundle);
 std::string encode(const operator_records_reply& value);
-std::string encode_operator_records_request(std::uint64_t from_offset);
+std::string encode_operator_records_request(const core::gateway::log_position& from);
 std::string encode_departure(const core::gateway::upstream_incarnation& value);
 
 // All throw `codec_error` if the bytes are malformed or contain a value out of range.
@@ -37,7 +37,7 @@
 // host field is empty.
 core::gateway::report_bundle decode_reports(std::string_view bytes, const std::string& host);
 operator_records_reply decode_operator_records_reply(std::string_view bytes);
-std::uint64_t decode_operator_records_request(std::string_view bytes);
+core::gateway::log_position decode_operator_records_request(std::string_view bytes);
 core::gateway::upstream_incarnation decode_departure(std::string_view bytes);
 
 } // namespace arbutuslb::runtime::wire
