An order that is missing among the newest records has been removed

Users would have seen: a failure domain stays withdrawn after operators have taken the withdrawal back. When records expire before a reader has seen a removal, it reads the newest record of each key, which has no removals; the withdrawal or rollout stayed in force for good. Change: a complete read removes what it does not have, if it is of the same era and older than the end of the read; the removal passes to peers like a record. The configuration is never removed. Ruled out: records written between two pages are safe, as the end of the first page counts. Conclusion: orders of an earlier era are left alone here; they follow.

--- a/src/arbutuslb/core/gateway/bundle_planner_test.cc
+++ b/src/arbutuslb/core/gateway/bundle_planner_test.cc
@@ -70,7 +70,9 @@
       [](peer_report& report) { report.version = "v2"; },
       [](peer_report& report) { report.process_epoch = 2; },
       [](peer_report& report) { report.rate_limit = 3; },
-      [](peer_report& report) { report.operator_log_end = {1, 9}; },
+      [](peer_report& report) {
+        report.operator_log_end = {1, 9};
+      },
       [](peer_report& report) { report.is_store_reachable = false; },
       [](peer_report& report) {
         report.rollouts = {{1, 10, rollout_phase::running}};
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -176,8 +176,10 @@
 
 void gateway_core::on_operator_records(operator_records_received value) {
   bool has_changes = false;
+  std::set<std::string> keys;
   for (operator_record& record : value.records) {
     const std::string key = record.key;
+    keys.insert(key);
     const log_position position = record.position;
     if (const auto* unreadable = std::get_if<unreadable_record>(&record.value)) {
       shared_.write(
@@ -197,6 +199,10 @@
     shared_.write(engine::severity::info, "order_applied",
                   {{"key", key}, {"position", to_string(position)}});
   }
+  if (value.is_complete && shared_.operator_records.remove_absent(keys, value.end)) {
+    has_changes = true;
+    shared_.write(engine::severity::info, "orders_removed", {{"end", to_string(value.end)}});
+  }
   shared_.operator_records.advance_to(value.end);
   if (has_changes) {
     rollouts_.on_operator_records();
--- a/src/arbutuslb/core/gateway/operator_state.cc
+++ b/src/arbutuslb/core/gateway/operator_state.cc
@@ -37,6 +37,26 @@
   return apply_result::applied;
 }
 
+bool operator_state::remove_absent(const std::set<std::string>& keys, const log_position& end) {
+  bool has_changes = false;
+  for (auto& [key, record] : records_) {
+    const bool is_configuration =
+        std::holds_alternative<std::shared_ptr<const mesh_configuration>>(record.value);
+    if (is_configuration || keys.contains(key) || record.position.era != end.era ||
+        record.position >= end || std::holds_alternative<record_removed>(record.value)) {
+      continue;
+    }
+    record.position.offset = end.offset - 1;
+    record.raw.clear();
+    record.value = record_removed{};
+    has_changes = true;
+  }
+  if (has_changes) {
+    rebuild_derived();
+  }
+  return has_changes;
+}
+
 void operator_state::rebuild_derived() {
   withdrawn_.clear();
   rollouts_.clear();
--- a/src/arbutuslb/core/gateway/operator_state.h
+++ b/src/arbutuslb/core/gateway/operator_state.h
@@ -57,6 +57,10 @@
   // Applies a record if it is readable and newer than the stored state.
   apply_result apply(operator_record record);
 
+  // The log had no other keys than `keys` when it ended at `end`: the others have been removed.
+  // Returns true if that changes the state.
+  bool remove_absent(const std::set<std::string>& keys, const log_position& end);
+
   // Returns the position after the last record received.
   const log_position& end() const noexcept { return end_; }
   void advance_to(const log_position& end) { end_ = std::max(end_, end); }
--- a/src/arbutuslb/core/gateway/store_restore_test.cc
+++ b/src/arbutuslb/core/gateway/store_restore_test.cc
@@ -38,3 +38,15 @@
   const gateway::log_position end{2, 4};
   cr_assert(state.end() == end);
 }
+
+Test(store_restore, a_withdrawal_that_is_taken_back_while_records_expire_ends) {
+  mesh_fixture fixture;
+  fixture.fleet.order("evacuate/a", gateway::domain_withdrawal{"a"});
+  fixture.fleet.run_for(1s);
+  cr_assert(fixture.fleet.daemon(0).operator_records().is_withdrawn("a"));
+  fixture.fleet.order_unseen("evacuate/a", gateway::record_removed{});
+  fixture.fleet.run_for(1s);
+  for (std::size_t at = 0; at < 8; ++at) {
+    cr_assert_not(fixture.fleet.daemon(at).operator_records().is_withdrawn("a"));
+  }
+}
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -213,12 +213,21 @@
   order("config", std::move(configuration));
 }
 
-void gateway_fleet::order(const std::string& key, gateway::record_value value) {
+void gateway_fleet::append(const std::string& key, gateway::record_value value) {
   gateway::operator_record record;
   record.position = {era_, log_.size()};
   record.key = key;
   record.value = std::move(value);
   log_.push_back(std::move(record));
+}
+
+void gateway_fleet::order_unseen(const std::string& key, gateway::record_value value) {
+  append(key, std::move(value));
+  deliver_newest_to_readers();
+}
+
+void gateway_fleet::order(const std::string& key, gateway::record_value value) {
+  append(key, std::move(value));
   for (std::size_t index = 0; index < nodes_.size(); ++index) {
     if (nodes_[index].follows_log || !nodes_[index].core->operator_records().configuration()) {
       deliver_log(index);
@@ -262,6 +271,10 @@
   for (gateway::operator_record& record : log_) {
     record.position.era = era_;
   }
+  deliver_newest_to_readers();
+}
+
+void gateway_fleet::deliver_newest_to_readers() {
   for (std::size_t index = 0; index < nodes_.size(); ++index) {
     if (nodes_[index].follows_log) {
       deliver_newest(index);
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -41,6 +41,9 @@
   // Both append a record to the operator log; that of `publish` is a configuration.
   void publish(std::shared_ptr<const core::gateway::mesh_configuration> configuration);
   void order(const std::string& key, core::gateway::record_value value);
+  // Appends a record that readers see only as part of the newest of each key, as if older records
+  // had been deleted before they could read them.
+  void order_unseen(const std::string& key, core::gateway::record_value value);
   // The store comes back from a copy with the first `kept` records of the operator log.
   void restore_store(std::size_t kept);
 
@@ -104,6 +107,8 @@
   void start_core(std::size_t index);
   void emit_heartbeat(std::size_t index);
   void deliver_log(std::size_t index);
+  void append(const std::string& key, core::gateway::record_value value);
+  void deliver_newest_to_readers();
   // Delivers the newest record of each key.
   void deliver_newest(std::size_t index);
 
