Withdrawals and rollouts of the earlier era hold until operators have written them again

Users would have seen: a withdrawal that had been taken back returns with the older copy, and one that is gone for good stays in force for ever; a rollout restarts with the spec before the current one. Cause: what was acknowledged in the earlier era was either dropped or kept without end; the copy is neither newer nor older. Change: for two seconds after its return (the time that the platform states for what is written again) orders of the earlier era stay in force; a different record at a lower offset is deferred, one at an offset that the earlier era had not reached counts at once. Then the log decides. Events era_changed and orders_reconciled. An order that operators write anew within these two seconds at a reused offset takes effect up to two seconds later.

--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -157,6 +157,11 @@
     directory_updated_at_ = shared_.now;
     shared_.directory.merge(build_report(), shared_.now);
   }
+  if (shared_.operator_records.reconcile(shared_.now)) {
+    shared_.write(engine::severity::info, "orders_reconciled",
+                  {{"end", to_string(shared_.operator_records.end())}});
+    on_orders_changed();
+  }
   gate_.on_tick();
   router_.on_tick();
   rollouts_.on_tick();
@@ -175,6 +180,7 @@
 // --- operator records ---
 
 void gateway_core::on_operator_records(operator_records_received value) {
+  const std::uint64_t previous_era = shared_.operator_records.end().era;
   bool has_changes = false;
   std::set<std::string> keys;
   for (operator_record& record : value.records) {
@@ -186,7 +192,7 @@
           engine::severity::error, "order_unreadable",
           {{"key", key}, {"position", to_string(position)}, {"reason", unreadable->reason}});
     }
-    const apply_result result = shared_.operator_records.apply(std::move(record));
+    const apply_result result = shared_.operator_records.apply(std::move(record), shared_.now);
     if (result != apply_result::applied) {
       shared_.write(engine::severity::info, "order_ignored",
                     {{"key", key},
@@ -203,14 +209,23 @@
     has_changes = true;
     shared_.write(engine::severity::info, "orders_removed", {{"end", to_string(value.end)}});
   }
-  shared_.operator_records.advance_to(value.end);
+  shared_.operator_records.advance_to(value.end, shared_.now);
+  if (shared_.operator_records.end().era != previous_era) {
+    shared_.write(engine::severity::info, "era_changed",
+                  {{"from", std::to_string(previous_era)},
+                   {"end", to_string(shared_.operator_records.end())}});
+  }
   if (has_changes) {
-    rollouts_.on_operator_records();
-    gate_.on_operator_records();
-    shared_.is_local_report_due = true;
+    on_orders_changed();
   }
 }
 
+void gateway_core::on_orders_changed() {
+  rollouts_.on_operator_records();
+  gate_.on_operator_records();
+  shared_.is_local_report_due = true;
+}
+
 void gateway_core::update_reader_role() {
   if (shared_.now - reader_role_updated_at_ < reader_update_period) {
     return;
--- a/src/arbutuslb/core/gateway/gateway_core.h
+++ b/src/arbutuslb/core/gateway/gateway_core.h
@@ -44,6 +44,7 @@
 
   void on_tick();
   void on_operator_records(operator_records_received value);
+  void on_orders_changed();
   void on_reports(const reports_received& value);
   void on_report(const aged_report& report);
   void on_peers_discovered(const peers_discovered& found);
