A rollout is named by the era and the offset of its order, and goes on when the order is written again

Users would have seen: a rollout that starts again from nothing after a restore of the store, or one that takes over the share and the phase of an earlier rollout whose offset its order got. Change: the id is made of era and offset. An equal order in a later era is the same rollout: it keeps its progress and takes the new id, and reports under the former one still count; the gate keeps its evidence.

--- a/src/arbutuslb/core/gateway/operator_state.cc
+++ b/src/arbutuslb/core/gateway/operator_state.cc
@@ -117,7 +117,7 @@
     if (const auto* withdrawal = std::get_if<domain_withdrawal>(&record.value)) {
       withdrawn_.insert(withdrawal->domain);
     } else if (const auto* rollout = std::get_if<rollout_spec>(&record.value)) {
-      rollouts_[rollout->service] = {record.position.offset, *rollout};
+      rollouts_[rollout->service] = {record.position, *rollout};
     }
   }
 }
--- a/src/arbutuslb/core/gateway/operator_state.h
+++ b/src/arbutuslb/core/gateway/operator_state.h
@@ -91,7 +91,7 @@
 
   // A requested rollout.
   struct active_rollout {
-    std::uint64_t id = 0; // offset of the operator record
+    log_position position; // of the operator record
     rollout_spec order;
   };
   const std::map<std::string, active_rollout>& rollouts() const noexcept { return rollouts_; }
--- a/src/arbutuslb/core/gateway/peer_report.h
+++ b/src/arbutuslb/core/gateway/peer_report.h
@@ -26,7 +26,7 @@
 // The progress of a rollout as recorded by the sender. Phase and share are merged by maximum, so
 // reports can be merged in any order.
 struct rollout_progress {
-  std::uint64_t id = 0;   // offset of the operator record
+  std::uint64_t id = 0;   // derived from the position of the operator record
   int share_permille = 0; // share of the requests that are sent to the new version
   rollout_phase phase = rollout_phase::running;
   friend bool operator==(const rollout_progress&, const rollout_progress&) = default;
--- a/src/arbutuslb/core/gateway/rollout_conductor.cc
+++ b/src/arbutuslb/core/gateway/rollout_conductor.cc
@@ -4,6 +4,7 @@
 #include "arbutuslb/core/moves/judge.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutuslb::core::gateway {
 namespace {
@@ -24,6 +25,13 @@
 constexpr const char* old_label = "old";
 constexpr const char* new_label = "new";
 
+constexpr int offset_bits = 44;
+
+// Returns the same id on all daemons that hold the record, and another for each record.
+std::uint64_t id_of(const log_position& position) {
+  return (position.era << offset_bits) | position.offset;
+}
+
 const char* to_string(rollout_phase phase) {
   switch (phase) {
   case rollout_phase::running:
@@ -47,18 +55,30 @@
   std::erase_if(rollouts_, [&](const auto& item) { return !ordered.contains(item.first); });
   for (const auto& [service, active] : ordered) {
     rollout& value = rollouts_[service];
-    if (value.id == active.id) {
+    if (value.position == active.position) {
+      continue;
+    }
+    const std::uint64_t id = id_of(active.position);
+    if (value.position.era < active.position.era && value.order == active.order) {
+      shared_.write(
+          engine::severity::info, "rollout_renamed",
+          {{"service", service}, {"from", std::to_string(value.id)}, {"id", std::to_string(id)}});
+      value.previous_id = std::exchange(value.id, id);
+      value.position = active.position;
       continue;
     }
     value = rollout{};
-    value.id = active.id;
+    value.position = active.position;
+    value.id = id;
+    value.previous_id = id;
+    value.number = ++last_number_;
     value.order = active.order;
     value.started = shared_.now;
     value.last_step_at = shared_.now;
     shared_.write(engine::severity::info, "rollout_ordered",
                   {{"service", service},
                    {"version", active.order.target_version},
-                   {"id", std::to_string(active.id)}});
+                   {"id", std::to_string(id)}});
   }
 }
 
@@ -89,14 +109,14 @@
 void rollout_conductor::on_report(const peer_report& report) {
   for (const rollout_progress& item : report.rollouts) {
     for (auto& [service, value] : rollouts_) {
-      if (value.id == item.id) {
+      if (value.has_id(item.id)) {
         advance(value, item.share_permille, item.phase);
       }
     }
   }
   for (const protocol::evidence_report& item : report.evidence) {
     for (auto& [service, value] : rollouts_) {
-      if (value.id == item.move_id) {
+      if (value.has_id(item.move_id)) {
         value.evidence.merge(member_id{hash_bytes(report.host)}, incarnation{report.process_epoch},
                              item);
       }
--- a/src/arbutuslb/core/gateway/rollout_conductor.h
+++ b/src/arbutuslb/core/gateway/rollout_conductor.h
@@ -24,7 +24,11 @@
   void on_tick();
 
   struct rollout {
-    std::uint64_t id = 0; // offset of the operator record
+    log_position position; // of the operator record
+    std::uint64_t id = 0;  // derived from the position
+    // The id before the record was written again in a later era; peers may still report it.
+    std::uint64_t previous_id = 0;
+    std::uint64_t number = 0; // among the rollouts of this process; the same for both ids
     rollout_spec order;
     time_point started{};
     time_point last_step_at{};
@@ -36,6 +40,8 @@
     time_point next_record_at{}; // the outcome is not recorded earlier
     double share_credit = 0;     // permille accumulated for the next request to the new version
     moves::evidence_pool evidence;
+
+    bool has_id(std::uint64_t value) const { return value == id || value == previous_id; }
   };
   // Returns the rollout of a service; null if none was requested.
   const rollout* find(std::string_view service) const;
@@ -62,7 +68,8 @@
 
   gateway_context& shared_;
   std::map<std::string, rollout, std::less<>> rollouts_; // by service
-  std::vector<outcomes_read::outcome> outcomes_;         // last read from the store
+  std::uint64_t last_number_ = 0;
+  std::vector<outcomes_read::outcome> outcomes_; // last read from the store
   std::uint64_t outcomes_end_ = 0;
   bool has_outcomes_ = false; // false: to be read before the next record is written
   time_point evaluated_at_{};
--- a/src/arbutuslb/core/gateway/store_restore_test.cc
+++ b/src/arbutuslb/core/gateway/store_restore_test.cc
@@ -2,6 +2,7 @@
 
 #include "arbutuslb/core/gateway/gateway_test_mesh.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 namespace {
@@ -109,3 +110,57 @@
     cr_assert_not(fixture.fleet.daemon(at).operator_records().is_withdrawn("a"));
   }
 }
+
+namespace {
+
+// A rollout of `menu` to v2 that has reached a share of the traffic on all daemons.
+struct rollout_fixture : mesh_fixture {
+  rollout_fixture() {
+    for (const std::size_t at : {std::size_t{1}, std::size_t{5}}) {
+      fleet.upstream(at).version = "v2";
+      fleet.restart(at);
+    }
+    fleet.run_for(3s);
+    fleet.order("rollout/menu", spec);
+    run_traffic(6s);
+  }
+
+  void run_traffic(arbutuslb::core::duration time) {
+    const arbutuslb::core::time_point end = fleet.now() + time;
+    for (std::size_t i = 0; fleet.now() < end; ++i) {
+      fleet.call(i % 8, "shop.example", "/menu/1");
+      fleet.run_for(i % 2 == 0 ? 20ms : 0ms);
+    }
+  }
+  std::size_t count_log(const std::string& event) const {
+    return static_cast<std::size_t>(std::count_if(
+        fleet.log.begin(), fleet.log.end(), [&](const auto& item) { return item.name == event; }));
+  }
+
+  const gateway::rollout_spec spec{"menu", "v2", 16s};
+};
+
+} // namespace
+
+Test(store_restore, a_rollout_goes_on_when_its_order_is_written_again_at_another_offset) {
+  rollout_fixture fixture;
+  const std::size_t ordered = fixture.count_log("rollout_ordered");
+  fixture.fleet.restore_store(1);
+  fixture.fleet.publish(configuration(2));
+  fixture.run_traffic(500ms);
+  fixture.fleet.order("rollout/menu", fixture.spec);
+  fixture.run_traffic(11s);
+  cr_assert_eq(fixture.count_log("rollout_ordered"), ordered);
+  cr_assert(fixture.fleet.outcomes.at("menu") == gateway::rollout_phase::completed);
+}
+
+Test(store_restore, a_rollout_at_the_offset_of_an_earlier_one_does_not_inherit_its_progress) {
+  rollout_fixture fixture;
+  fixture.run_traffic(11s);
+  cr_assert(fixture.fleet.outcomes.at("menu") == gateway::rollout_phase::completed);
+  fixture.fleet.restore_store(1);
+  const std::size_t steps = fixture.count_log("rollout_step");
+  fixture.fleet.order("rollout/orders", gateway::rollout_spec{"orders", "v2", 60s});
+  fixture.fleet.run_for(1s);
+  cr_assert_eq(fixture.count_log("rollout_step"), steps);
+}
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -564,8 +564,8 @@
   if (rollout == nullptr || rollout->phase != rollout_phase::running) {
     return std::nullopt;
   }
-  if (evidence_id_ != rollout->id) {
-    evidence_id_ = rollout->id;
+  if (evidence_rollout_ != rollout->number) {
+    evidence_rollout_ = rollout->number;
     evidence_ = {};
   }
   protocol::evidence_report evidence;
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -120,7 +120,7 @@
   double failed_share_ = 0;     // moving average of failed requests, 0 to 1
   bool was_withdrawn_ = false;
   // Evidence for the running rollout.
-  std::uint64_t evidence_id_ = 0;
+  std::uint64_t evidence_rollout_ = 0; // number of the rollout that `evidence_` is of
   moves::evidence_counter evidence_;
   double mean_in_flight_ = 0;
 };
