Outcomes of rollouts count only in the era of the store in which they were recorded

Users would have seen: a rollout that had been reported completed or rolled back is running again in the store, for good, and its environment is never cleaned up. Cause: what we wrote was believed to be kept: the daemon that had recorded an outcome never looked again, and the copy lacked it. An append under a condition could also be accepted in a later era whose log had the same end by chance. Change: in a new era the daemon that holds the role reads the outcomes and records what is missing. An append that is accepted in another era than its condition is of is not taken as recorded; the outcomes are read again.

--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -91,7 +91,7 @@
     rollout_phase phase = rollout_phase::running;
   };
   std::vector<outcome> outcomes;
-  std::uint64_t end_offset = 0;
+  log_position end; // of the outcomes' log when they were read
 };
 // Completes `record_outcome`.
 struct outcome_recorded {
@@ -99,6 +99,7 @@
   // False if the store refused the record, found a conflict, or did not answer; the outcomes are
   // then read again.
   bool is_recorded = false;
+  std::uint64_t era = 0; // of the store when it accepted the record
 };
 struct stop_requested {};
 
@@ -161,13 +162,13 @@
 };
 // Reads the outcomes of rollouts from the store. Answered by one `outcomes_read`.
 struct read_outcomes {};
-// Records the outcome of a rollout, if the end offset of the outcomes is still `expected_end`.
-// Answered by one `outcome_recorded`.
+// Records the outcome of a rollout, if the outcomes' log still ends at the offset of
+// `expected_end`. Answered by one `outcome_recorded`.
 struct record_outcome {
   std::string service;
   std::string target_version;
   rollout_phase phase = rollout_phase::running;
-  std::uint64_t expected_end = 0;
+  log_position expected_end;
 };
 struct exit_process {};
 
--- a/src/arbutuslb/core/gateway/rollout_conductor.cc
+++ b/src/arbutuslb/core/gateway/rollout_conductor.cc
@@ -125,9 +125,11 @@
 }
 
 void rollout_conductor::on_outcomes(const outcomes_read& stored) {
-  outcomes_ = stored.outcomes;
-  outcomes_end_ = stored.end_offset;
-  has_outcomes_ = true;
+  advance_era(stored.end.era);
+  if (stored.end.era != era_) {
+    return;
+  }
+  outcomes_end_ = stored.end;
   for (const outcomes_read::outcome& item : stored.outcomes) {
     const auto found = rollouts_.find(item.service);
     if (found == rollouts_.end() || item.phase == rollout_phase::running ||
@@ -135,7 +137,7 @@
       continue;
     }
     rollout& value = found->second;
-    value.is_recorded = true;
+    value.recorded_era = era_;
     if (value.phase != item.phase) {
       // The first record in the store is final and overrides the phase concluded here.
       value.phase = rollout_phase::running;
@@ -145,19 +147,32 @@
 }
 
 void rollout_conductor::on_recorded(const outcome_recorded& result) {
+  // An append in another era than that of its condition may have followed other records.
+  const bool is_recorded = result.is_recorded && outcomes_end_ && result.era == outcomes_end_->era;
+  advance_era(result.era);
   const auto found = rollouts_.find(result.service);
   if (found != rollouts_.end()) {
     found->second.is_recording = false;
-    found->second.is_recorded = found->second.is_recorded || result.is_recorded;
     found->second.next_record_at = shared_.now + record_retry_delay;
+    if (is_recorded) {
+      found->second.recorded_era = era_;
+    }
   }
-  if (!result.is_recorded) {
-    has_outcomes_ = false;
+  if (!is_recorded) {
+    outcomes_end_.reset();
     shared_.add_action(read_outcomes{});
   }
 }
 
+void rollout_conductor::advance_era(std::uint64_t era) {
+  if (era > era_) {
+    era_ = era;
+    outcomes_end_.reset();
+  }
+}
+
 void rollout_conductor::on_tick() {
+  advance_era(shared_.operator_records.end().era);
   if (shared_.now - last_checkpoint_at_ >= checkpoint_period) {
     last_checkpoint_at_ = shared_.now;
     for (auto& [service, value] : rollouts_) {
@@ -219,18 +234,18 @@
 void rollout_conductor::write_outcome(rollout& value) {
   const bool is_settled = value.phase == rollout_phase::rolled_back ||
                           shared_.now - value.phase_changed_at >= drain_time;
-  if (value.is_recorded || value.is_recording || !is_settled ||
+  if (is_recorded(value) || value.is_recording || !is_settled ||
       shared_.now < value.next_record_at) {
     return;
   }
-  if (!has_outcomes_) {
+  if (!outcomes_end_) {
     value.next_record_at = shared_.now + record_retry_delay;
     shared_.add_action(read_outcomes{});
     return;
   }
   value.is_recording = true;
   shared_.add_action(
-      record_outcome{value.order.service, value.order.target_version, value.phase, outcomes_end_});
+      record_outcome{value.order.service, value.order.target_version, value.phase, *outcomes_end_});
 }
 
 const rollout_conductor::rollout* rollout_conductor::find(std::string_view service) const {
--- a/src/arbutuslb/core/gateway/rollout_conductor.h
+++ b/src/arbutuslb/core/gateway/rollout_conductor.h
@@ -35,7 +35,7 @@
     int share_permille = 0;
     rollout_phase phase = rollout_phase::running;
     time_point phase_changed_at{};
-    bool is_recorded = false;
+    std::optional<std::uint64_t> recorded_era; // era in which the outcome is in the store
     bool is_recording = false;
     time_point next_record_at{}; // the outcome is not recorded earlier
     double share_credit = 0;     // permille accumulated for the next request to the new version
@@ -65,13 +65,16 @@
   bool advance(rollout& value, int share_permille, rollout_phase phase);
   void evaluate(rollout& value);
   void write_outcome(rollout& value);
+  bool is_recorded(const rollout& value) const { return value.recorded_era == era_; }
+  // What was read and recorded in an earlier era no longer counts.
+  void advance_era(std::uint64_t era);
 
   gateway_context& shared_;
   std::map<std::string, rollout, std::less<>> rollouts_; // by service
   std::uint64_t last_number_ = 0;
-  std::vector<outcomes_read::outcome> outcomes_; // last read from the store
-  std::uint64_t outcomes_end_ = 0;
-  bool has_outcomes_ = false; // false: to be read before the next record is written
+  std::uint64_t era_ = 0; // of the store
+  // End of the outcomes when last read; empty if they are to be read before the next record.
+  std::optional<log_position> outcomes_end_;
   time_point evaluated_at_{};
   time_point last_checkpoint_at_{};
 };
--- a/src/arbutuslb/core/gateway/store_restore_test.cc
+++ b/src/arbutuslb/core/gateway/store_restore_test.cc
@@ -154,6 +154,29 @@
   cr_assert(fixture.fleet.outcomes.at("menu") == gateway::rollout_phase::completed);
 }
 
+Test(store_restore, an_outcome_that_the_copy_lacks_is_recorded_again) {
+  rollout_fixture fixture;
+  fixture.run_traffic(11s);
+  cr_assert(fixture.fleet.outcomes.at("menu") == gateway::rollout_phase::completed);
+  fixture.fleet.restore_store(2);
+  fixture.run_traffic(3s);
+  cr_assert(fixture.fleet.outcomes.contains("menu"));
+  cr_assert(fixture.fleet.outcomes.at("menu") == gateway::rollout_phase::completed);
+}
+
+Test(store_restore, an_outcome_that_is_appended_in_another_era_than_it_expects_is_read_again) {
+  rollout_fixture fixture;
+  fixture.run_traffic(11s);
+  gateway::gateway_core& daemon = fixture.fleet.daemon(0);
+  const arbutuslb::core::time_point now = fixture.fleet.now();
+  daemon.handle(gateway::outcomes_read{{}, {1, 0}}, now);
+  const std::vector<gateway::action> actions =
+      daemon.handle(gateway::outcome_recorded{"menu", true, 2}, now);
+  cr_assert(std::any_of(actions.begin(), actions.end(), [](const gateway::action& item) {
+    return std::holds_alternative<gateway::read_outcomes>(item);
+  }));
+}
+
 Test(store_restore, a_rollout_at_the_offset_of_an_earlier_one_does_not_inherit_its_progress) {
   rollout_fixture fixture;
   fixture.run_traffic(11s);
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -154,7 +154,10 @@
     }
     fleet_ref.after(default_delay, [&fleet_ref, target = index] {
       gateway::outcomes_read read;
-      read.end_offset = fleet_ref.outcomes.size();
+      read.end = {fleet_ref.era_, fleet_ref.outcomes.size()};
+      for (const auto& [service, phase] : fleet_ref.outcomes) {
+        read.outcomes.push_back({service, fleet_ref.outcome_versions_[service], phase});
+      }
       fleet_ref.handle(target, read);
     });
   }
@@ -163,11 +166,12 @@
     const bool is_first = !fleet_ref.is_store_down && !fleet_ref.outcomes.contains(action.service);
     if (is_first) {
       fleet_ref.outcomes[action.service] = action.phase;
+      fleet_ref.outcome_versions_[action.service] = action.target_version;
     }
-    fleet_ref.after(default_delay,
-                    [&fleet_ref, target = index, service = action.service, is_first] {
-                      fleet_ref.handle(target, gateway::outcome_recorded{service, is_first});
-                    });
+    fleet_ref.after(
+        default_delay, [&fleet_ref, target = index, service = action.service, is_first] {
+          fleet_ref.handle(target, gateway::outcome_recorded{service, is_first, fleet_ref.era_});
+        });
   }
   void operator()(const core::engine::write_event& action) const { fleet.log.push_back(action); }
   void operator()(const gateway::exit_process&) const { fleet.exited.insert(index); }
@@ -267,6 +271,7 @@
 
 void gateway_fleet::restore_store(std::size_t kept) {
   log_.resize(kept);
+  outcomes.clear();
   ++era_;
   for (gateway::operator_record& record : log_) {
     record.position.era = era_;
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -44,7 +44,8 @@
   // Appends a record that readers see only as part of the newest of each key, as if older records
   // had been deleted before they could read them.
   void order_unseen(const std::string& key, core::gateway::record_value value);
-  // The store comes back from a copy with the first `kept` records of the operator log.
+  // The store comes back from a copy with the first `kept` records of the operator log and without
+  // outcomes.
   void restore_store(std::size_t kept);
 
   void run_for(core::duration time);
@@ -116,7 +117,8 @@
   core::random_source random_;
   std::vector<node> nodes_;
   std::vector<core::gateway::operator_record> log_;
-  std::uint64_t era_ = 1; // of the store
+  std::uint64_t era_ = 1;                               // of the store
+  std::map<std::string, std::string> outcome_versions_; // in `outcomes`, by service
   std::multimap<core::time_point, std::function<void()>> timers_;
   // Cancelled attempts, as the calling daemon's index and the attempt's number.
   std::set<std::pair<std::size_t, std::uint64_t>> cancelled_;
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -95,7 +95,7 @@
   cr_assert_eq(std::get<gateway::domain_withdrawal>(withdrawal.value).domain, "a");
   cr_assert(std::holds_alternative<gateway::record_removed>(
       decode_operator_record({1, 3}, "evacuate/a", "").value));
-  const gateway::record_outcome outcome{"menu", "v2", gateway::rollout_phase::rolled_back, 0};
+  const gateway::record_outcome outcome{"menu", "v2", gateway::rollout_phase::rolled_back, {}};
   const auto copy = decode_outcome(outcome_key("menu"), encode_outcome(outcome));
   cr_assert(copy->phase == gateway::rollout_phase::rolled_back);
   cr_assert_eq(copy->target_version, "v2");
--- a/src/arbutuslb/platform/store_client.cc
+++ b/src/arbutuslb/platform/store_client.cc
@@ -127,23 +127,24 @@
 append_result decode_append(const http::exchange_result& exchange) {
   switch (exchange.outcome) {
   case http::exchange_outcome::not_connected:
-    return {append_status::refused, "not connected"};
+    return {append_status::refused, "not connected", 0};
   case http::exchange_outcome::broken:
-    return {append_status::unknown, "no answer"};
+    return {append_status::unknown, "no answer", 0};
   case http::exchange_outcome::answered:
     break;
   }
   const int status = exchange.answer.status;
+  const std::uint64_t era = decode_era(exchange.answer);
   const std::string reason = "status " + std::to_string(status);
   if (status == status_ok) {
-    return {append_status::appended, ""};
+    return {append_status::appended, "", era};
   }
   if (status == status_precondition_failed || status == status_conflict) {
-    return {append_status::conflict, reason};
+    return {append_status::conflict, reason, era};
   }
   const bool is_refused = status < first_server_error || status == status_unavailable ||
                           status == status_too_many_requests;
-  return {is_refused ? append_status::refused : append_status::unknown, reason};
+  return {is_refused ? append_status::refused : append_status::unknown, reason, era};
 }
 
 } // namespace
--- a/src/arbutuslb/platform/store_client.h
+++ b/src/arbutuslb/platform/store_client.h
@@ -40,6 +40,7 @@
 struct append_result {
   append_status status = append_status::unknown;
   std::string reason;
+  std::uint64_t era = 0; // of the answer; zero if there is none or it states none
 };
 
 // Not thread-safe. Uses partition 0 of topics that keep the newest record of each key.
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -432,7 +432,7 @@
         return; // the core requests the outcomes again
       }
       gateway::outcomes_read read;
-      read.end_offset = result.end_offset;
+      read.end = {result.era, result.end_offset};
       for (const platform::store_record& record : result.records) {
         if (std::optional<gateway::outcomes_read::outcome> outcome =
                 platform::decode_outcome(record.key, record.value)) {
@@ -446,12 +446,12 @@
   void record_outcome(const gateway::record_outcome& action) {
     const std::string service = action.service;
     store.append(platform::outcomes_topic, platform::outcome_key(service),
-                 platform::encode_outcome(action), action.expected_end,
+                 platform::encode_outcome(action), action.expected_end.offset,
                  [this, service](const platform::append_result& result) {
                    write_event(core::engine::severity::info, "outcome_recorded",
                                {{"service", service}, {"reason", result.reason}});
                    handle(gateway::outcome_recorded{
-                       service, result.status == platform::append_status::appended});
+                       service, result.status == platform::append_status::appended, result.era});
                  });
   }
 
