After a failed read the next one tells at once whether the store is in a new era

Users would have seen: up to 20 s without the operators' changes when a restored log ends where a reader waits, and outcomes recorded again late. Cause: after the store's return the reader sent its long poll from the former position. The log had the same length again, so the store waited for a record, and neither the era nor the records at reused offsets were seen. Change: while the store counts as unreachable, reads do not wait. One short read more for each reader and outage.

--- a/src/arbutuslb/runtime/order_follower.cc
+++ b/src/arbutuslb/runtime/order_follower.cc
@@ -67,7 +67,9 @@
     return;
   }
   is_active_ = true;
-  long_poll_ = store_.read_from(platform::operator_topic, next_.offset, long_poll_wait,
+  // After a failure the answer must not wait for a record: it tells whether a new era has begun.
+  const core::duration wait = is_reachable_ ? core::duration{long_poll_wait} : core::duration{};
+  long_poll_ = store_.read_from(platform::operator_topic, next_.offset, wait,
                                 [this, from = next_](platform::read_result result) {
                                   long_poll_ = 0;
                                   on_new_records(from, std::move(result));
--- a/src/arbutuslb/runtime/order_follower_test.cc
+++ b/src/arbutuslb/runtime/order_follower_test.cc
@@ -100,3 +100,17 @@
   cr_assert(fixture.run_until([&] { return fixture.has("first", "again"); }));
   cr_assert(fixture.has("second", "again") && fixture.has("third", "again"));
 }
+
+Test(order_follower, a_log_that_ends_at_the_same_offset_in_a_new_era_is_read_after_the_return) {
+  follower_fixture fixture;
+  for (const char* value : {"1", "2", "3"}) {
+    fixture.append("config", value);
+  }
+  fixture.follower.set_following(true);
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "3"); }));
+  fixture.store.restore(1h);
+  for (const char* value : {"4", "5", "6"}) {
+    fixture.append("config", value);
+  }
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "6"); }));
+}
