A departure counts as recorded only in the era of the store that has it

Users would have seen: after a restore of the store and a restart of a daemon, an upstream that had left got requests again (DRAIN), though its departure had been acknowledged as recorded. Cause: what we wrote was believed to be kept; the record was written once and never again. Change: with the record the gate keeps the era in which the store accepted it. In a later era it records the departure again, with the same backoff as before. A daemon that is killed before it has learned of the new era still loses the departure, unless the upstream repeats it.

--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -77,11 +77,13 @@
   std::vector<std::string> hosts;
   // The local upstream that departed last, as recorded by this daemon; empty if none is recorded.
   std::optional<upstream_incarnation> departed;
+  std::uint64_t era = 0; // of the store when it was read
 };
 // Completes `record_departure`.
 struct departure_recorded {
   upstream_incarnation departed;
   bool is_recorded = false;
+  std::uint64_t era = 0; // of the store when it accepted the record
 };
 // The outcomes of rollouts that are recorded in the store.
 struct outcomes_read {
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -451,7 +451,7 @@
 void gateway_core::on_peers_discovered(const peers_discovered& found) {
   shared_.registry.set_unusable_until({});
   if (found.departed && shared_.registry.restore_departure(*found.departed, shared_.now)) {
-    gate_.on_departure_restored();
+    gate_.on_departure_restored(found.era);
     shared_.write(engine::severity::info, "departure_restored",
                   {{"instance", found.departed->instance_id},
                    {"started_ms", std::to_string(found.departed->started_ms)}});
--- a/src/arbutuslb/core/gateway/store_restore_test.cc
+++ b/src/arbutuslb/core/gateway/store_restore_test.cc
@@ -111,6 +111,24 @@
   }
 }
 
+Test(store_restore, a_departure_that_the_copy_lacks_outlives_the_process) {
+  mesh_fixture fixture;
+  const gateway::heartbeat from_before = fixture.fleet.next_heartbeat(0);
+  fixture.fleet.upstream(0).is_draining = true;
+  fixture.fleet.run_for(2s);
+  fixture.fleet.restore_store(1);
+  fixture.fleet.run_for(2s);
+  fixture.fleet.upstream(1).is_draining = true; // so that upstream 0 would be selected
+  fixture.fleet.restart(0);
+  const std::size_t before = fixture.fleet.starts[0].size();
+  fixture.fleet.send_heartbeat(0, from_before);
+  for (int i = 0; i < 30; ++i) {
+    fixture.fleet.call(0, "shop.example", "/menu/1");
+    fixture.fleet.run_for(10ms);
+  }
+  cr_assert_eq(fixture.fleet.starts[0].size(), before);
+}
+
 namespace {
 
 // A rollout of `menu` to v2 that has reached a share of the traffic on all daemons.
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -272,7 +272,7 @@
   stated_limit_.on_answer(notice.rate_limit, ended.started, shared_.now);
   const upstream_incarnation sender{ended.request.instance_id, ended.upstream_started_ms};
   if (notice.is_leaving && shared_.registry.on_leaving(sender, shared_.now)) {
-    is_departure_recorded_ = false;
+    departure_era_.reset();
     shared_.is_report_due = true;
     refuse_queued("upstream is leaving");
   }
@@ -382,7 +382,9 @@
   const bool is_accepted = verdict == heartbeat_verdict::accepted;
   if (is_accepted && value.content.state != upstream_lifecycle::ready) {
     const bool is_first = !previous || previous->state == upstream_lifecycle::ready;
-    is_departure_recorded_ = is_departure_recorded_ && !is_first;
+    if (is_first) {
+      departure_era_.reset();
+    }
     acknowledge_after_recording(value.token);
   } else {
     shared_.add_action(acknowledge_heartbeat{value.token, verdict != heartbeat_verdict::foreign,
@@ -436,8 +438,9 @@
 void upstream_gate::on_deregistration(const deregistration_received& value) {
   const std::optional<upstream_incarnation> previous = shared_.registry.departed();
   const bool is_registered = shared_.registry.on_deregistration(value.instance_id, shared_.now);
-  is_departure_recorded_ =
-      is_departure_recorded_ && previous && previous->instance_id == value.instance_id;
+  if (!previous || previous->instance_id != value.instance_id) {
+    departure_era_.reset();
+  }
   acknowledge_after_recording(value.token);
   shared_.write(engine::severity::info, "upstream_state",
                 {{"instance", value.instance_id},
@@ -463,7 +466,7 @@
   if (!shared_.registry.departed()) {
     return;
   }
-  if (is_departure_recorded_) {
+  if (is_departure_recorded()) {
     send_acknowledgements("recorded");
     return;
   }
@@ -476,8 +479,12 @@
   }
 }
 
-void upstream_gate::on_departure_restored() {
-  is_departure_recorded_ = true;
+bool upstream_gate::is_departure_recorded() const {
+  return departure_era_ && *departure_era_ >= shared_.operator_records.end().era;
+}
+
+void upstream_gate::on_departure_restored(std::uint64_t era) {
+  departure_era_ = era;
 }
 
 void upstream_gate::on_departure_recorded(const departure_recorded& value) {
@@ -486,9 +493,11 @@
   departure_retry_delay_ =
       std::min<duration>(2 * departure_retry_delay_, max_departure_retry_delay);
   const std::optional<upstream_incarnation>& departed = shared_.registry.departed();
-  is_departure_recorded_ = value.is_recorded && departed &&
-                           departed->instance_id == value.departed.instance_id &&
-                           departed->started_ms == value.departed.started_ms;
+  const bool is_current = departed && departed->instance_id == value.departed.instance_id &&
+                          departed->started_ms == value.departed.started_ms;
+  if (is_current && value.is_recorded) {
+    departure_era_ = value.era;
+  }
   advance_departure();
 }
 
@@ -526,7 +535,7 @@
   if (queue_.waiting() > 0) {
     start_queued();
   }
-  if (!departure_tokens_.empty() || !is_departure_recorded_) {
+  if (!departure_tokens_.empty() || !is_departure_recorded()) {
     advance_departure();
   }
   mean_in_flight_ += in_flight_weight * (queue_.in_flight() - mean_in_flight_);
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -43,7 +43,7 @@
   void on_deregistration(const deregistration_received& value);
   void on_departure_recorded(const departure_recorded& value);
   // The registry has taken over the departure that an earlier process recorded.
-  void on_departure_restored();
+  void on_departure_restored(std::uint64_t era);
   // The operator records have changed.
   void on_operator_records();
   void on_tick();
@@ -83,6 +83,8 @@
   void acknowledge_after_recording(std::uint64_t token);
   // Starts to record the departure, or acknowledges it, whichever is due.
   void advance_departure();
+  // Returns false if the departure was recorded in an earlier era only: the store may have lost it.
+  bool is_departure_recorded() const;
   void send_acknowledgements(const std::string& reason);
   void record_completion(const execution& ended, const attempt_completed& end);
   // Takes over the limit or the departure that the upstream states.
@@ -115,9 +117,9 @@
   time_point next_departure_record_{};
   duration departure_retry_delay_{};
   bool is_recording_departure_ = false;
-  bool is_departure_recorded_ = false;
-  upstream_notice last_notice_; // in the newest answer of the upstream
-  double failed_share_ = 0;     // moving average of failed requests, 0 to 1
+  std::optional<std::uint64_t> departure_era_; // era of the store that has the departure
+  upstream_notice last_notice_;                // in the newest answer of the upstream
+  double failed_share_ = 0;                    // moving average of failed requests, 0 to 1
   bool was_withdrawn_ = false;
   // Evidence for the running rollout.
   std::uint64_t evidence_rollout_ = 0; // number of the rollout that `evidence_` is of
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -92,10 +92,10 @@
     if (is_recorded) {
       fleet_ref.departures_[index] = action.departed;
     }
-    fleet_ref.after(default_delay,
-                    [&fleet_ref, target = index, departed = action.departed, is_recorded] {
-                      fleet_ref.handle(target, gateway::departure_recorded{departed, is_recorded});
-                    });
+    fleet_ref.after(default_delay, [&fleet_ref, target = index, departed = action.departed,
+                                    is_recorded] {
+      fleet_ref.handle(target, gateway::departure_recorded{departed, is_recorded, fleet_ref.era_});
+    });
   }
   void operator()(const gateway::send_reports& action) const {
     gateway_fleet& fleet_ref = fleet;
@@ -136,6 +136,7 @@
       return;
     }
     gateway::peers_discovered found;
+    found.era = fleet.era_;
     for (const node& item : fleet.nodes_) {
       found.hosts.push_back(item.settings.host);
     }
@@ -272,6 +273,7 @@
 void gateway_fleet::restore_store(std::size_t kept) {
   log_.resize(kept);
   outcomes.clear();
+  departures_.clear();
   ++era_;
   for (gateway::operator_record& record : log_) {
     record.position.era = era_;
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -45,7 +45,7 @@
   // had been deleted before they could read them.
   void order_unseen(const std::string& key, core::gateway::record_value value);
   // The store comes back from a copy with the first `kept` records of the operator log and without
-  // outcomes.
+  // outcomes and departures.
   void restore_store(std::size_t kept);
 
   void run_for(core::duration time);
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -421,8 +421,8 @@
   }
 
   void record_departure(const gateway::upstream_incarnation& departed) {
-    members.record_departure(departed, [this, departed](bool is_recorded) {
-      handle(gateway::departure_recorded{departed, is_recorded});
+    members.record_departure(departed, [this, departed](bool is_recorded, std::uint64_t era) {
+      handle(gateway::departure_recorded{departed, is_recorded, era});
     });
   }
 
--- a/src/arbutuslb/runtime/member_registry.cc
+++ b/src/arbutuslb/runtime/member_registry.cc
@@ -54,6 +54,7 @@
 gateway::peers_discovered
 member_registry::decode_members(const platform::read_result& result) const {
   gateway::peers_discovered peers;
+  peers.era = result.era;
   for (const platform::store_record& record : result.records) {
     if (is_address(record.key) && !record.value.empty()) {
       peers.hosts.push_back(record.key);
@@ -71,11 +72,11 @@
 }
 
 void member_registry::record_departure(const gateway::upstream_incarnation& departed,
-                                       std::function<void(bool)> on_result) {
+                                       std::function<void(bool, std::uint64_t)> on_result) {
   store_.append(platform::members_topic, departure_key(host_), wire::encode_departure(departed),
                 std::nullopt,
                 [on_result = std::move(on_result)](const platform::append_result& result) {
-                  on_result(result.status == platform::append_status::appended);
+                  on_result(result.status == platform::append_status::appended, result.era);
                 });
 }
 
--- a/src/arbutuslb/runtime/member_registry.h
+++ b/src/arbutuslb/runtime/member_registry.h
@@ -25,9 +25,9 @@
   // `on_discovered` is not called if the store cannot be read.
   void discover(std::function<void(core::gateway::peers_discovered)> on_discovered);
   // Writes the departure record of this daemon. `on_result` receives whether the store has
-  // acknowledged it.
+  // acknowledged it, and the era of the store then.
   void record_departure(const core::gateway::upstream_incarnation& departed,
-                        std::function<void(bool is_recorded)> on_result);
+                        std::function<void(bool is_recorded, std::uint64_t era)> on_result);
 
 private:
   void read_members(std::function<void(core::gateway::peers_discovered)> on_discovered);
