Daemons register again in a new era of the store

Users would have seen: after a restore of the store, instances that joined shortly before it and shortly after it do not find each other for up to 60 to 90 s, and get no requests from one another. Cause: what we wrote was believed to be kept; a daemon registered once in its life. Change: a daemon registers in each era, within two seconds of learning of it, and reads the list again. One fixture serves both tests that use the stand-in store.

--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -156,8 +156,11 @@
   std::string host;
   log_position from;
 };
-// Registers this daemon in the store and reads the list of registered daemons.
-struct discover_peers {};
+// Registers this daemon in the store, unless that has succeeded in this era of the store, and reads
+// the list of registered daemons.
+struct discover_peers {
+  std::uint64_t era = 0;
+};
 // Records durably that the local upstream departs. Answered by one `departure_recorded`.
 struct record_departure {
   upstream_incarnation departed;
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -27,6 +27,8 @@
 constexpr std::size_t evidence_receivers = 2;
 constexpr std::chrono::milliseconds isolated_discovery_interval{700};
 constexpr std::chrono::seconds discovery_interval{60};
+// In a new era of the store, the daemons register again within this time.
+constexpr std::chrono::seconds registration_spread{2};
 // A new process sends no requests to its upstream until it has read which upstream departed last,
 // or until this time has passed if the store does not answer.
 constexpr std::chrono::milliseconds departure_read_timeout{500};
@@ -210,10 +212,13 @@
     shared_.write(engine::severity::info, "orders_removed", {{"end", to_string(value.end)}});
   }
   shared_.operator_records.advance_to(value.end, shared_.now);
-  if (shared_.operator_records.end().era != previous_era) {
+  if (previous_era != 0 && shared_.operator_records.end().era != previous_era) {
     shared_.write(engine::severity::info, "era_changed",
                   {{"from", std::to_string(previous_era)},
                    {"end", to_string(shared_.operator_records.end())}});
+    // The store may have lost the registrations of this daemon and its peers.
+    next_discovery_ =
+        std::min(next_discovery_, shared_.now + shared_.random.jitter(registration_spread));
   }
   if (has_changes) {
     on_orders_changed();
@@ -473,7 +478,7 @@
   const duration period =
       is_isolated ? duration{isolated_discovery_interval} : duration{discovery_interval};
   next_discovery_ = shared_.now + period + shared_.random.jitter(period / 2);
-  shared_.add_action(discover_peers{});
+  shared_.add_action(discover_peers{shared_.operator_records.end().era});
 }
 
 // --- stopping ---
--- a/src/arbutuslb/core/gateway/store_restore_test.cc
+++ b/src/arbutuslb/core/gateway/store_restore_test.cc
@@ -129,6 +129,24 @@
   cr_assert_eq(fixture.fleet.starts[0].size(), before);
 }
 
+Test(store_restore, a_daemon_registers_again_in_a_new_era) {
+  mesh_fixture fixture;
+  gateway::gateway_core& daemon = fixture.fleet.daemon(0);
+  arbutuslb::core::time_point now = fixture.fleet.now();
+  daemon.handle(gateway::operator_records_received{{}, {2, 1}, true}, now);
+  std::vector<std::uint64_t> eras;
+  for (int i = 0; i < 100; ++i) {
+    now += gateway::tick_period;
+    for (const gateway::action& item : daemon.handle(gateway::tick{}, now)) {
+      if (const auto* discovery = std::get_if<gateway::discover_peers>(&item)) {
+        eras.push_back(discovery->era);
+      }
+    }
+  }
+  cr_assert_eq(eras.size(), 1);
+  cr_assert_eq(eras.front(), 2);
+}
+
 namespace {
 
 // A rollout of `menu` to v2 that has reached a share of the traffic on all daemons.
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -161,7 +161,9 @@
     void operator()(const gateway::fetch_operator_records& action) const {
       host.fetch_operator_records(action);
     }
-    void operator()(const gateway::discover_peers&) const { host.discover_peers(); }
+    void operator()(const gateway::discover_peers& action) const {
+      host.discover_peers(action.era);
+    }
     void operator()(const gateway::record_departure& action) const {
       host.record_departure(action.departed);
     }
@@ -415,9 +417,9 @@
     apply_operator_records(std::move(operator_records));
   }
 
-  void discover_peers() {
+  void discover_peers(std::uint64_t era) {
     members.discover(
-        [this](gateway::peers_discovered discovered) { handle(std::move(discovered)); });
+        era, [this](gateway::peers_discovered discovered) { handle(std::move(discovered)); });
   }
 
   void record_departure(const gateway::upstream_incarnation& departed) {
--- a/src/arbutuslb/runtime/member_registry.cc
+++ b/src/arbutuslb/runtime/member_registry.cc
@@ -29,15 +29,18 @@
     : store_(store), host_(std::move(host)), name_(std::move(name)),
       on_malformed_(std::move(on_malformed)) {}
 
-void member_registry::discover(std::function<void(gateway::peers_discovered)> on_discovered) {
-  if (is_registered_) {
+void member_registry::discover(std::uint64_t era,
+                               std::function<void(gateway::peers_discovered)> on_discovered) {
+  if (registered_era_ && *registered_era_ >= era) {
     read_members(std::move(on_discovered));
     return;
   }
   store_.append(platform::members_topic, host_, name_, std::nullopt,
                 [this, on_discovered = std::move(on_discovered)](
                     const platform::append_result& result) mutable {
-                  is_registered_ = result.status == platform::append_status::appended;
+                  if (result.status == platform::append_status::appended) {
+                    registered_era_ = result.era;
+                  }
                   read_members(std::move(on_discovered));
                 });
 }
--- a/src/arbutuslb/runtime/member_registry.h
+++ b/src/arbutuslb/runtime/member_registry.h
@@ -2,7 +2,7 @@
 // which has to survive a restart of the daemon.
 //
 //   member_registry members(store, "10.0.0.7", "instance-7");
-//   members.discover([](core::gateway::peers_discovered peers) { ... });
+//   members.discover(era, [](core::gateway::peers_discovered peers) { ... });
 #pragma once
 
 #include "arbutuslb/core/gateway/events.h"
@@ -21,9 +21,10 @@
   member_registry(platform::store_client& store, std::string host, std::string name,
                   std::function<void(const std::string& reason)> on_malformed);
 
-  // Registers this daemon, unless that has succeeded before, and reads the registered daemons.
-  // `on_discovered` is not called if the store cannot be read.
-  void discover(std::function<void(core::gateway::peers_discovered)> on_discovered);
+  // Registers this daemon, unless that has succeeded in `era` or a later one, and reads the
+  // registered daemons. `on_discovered` is not called if the store cannot be read.
+  void discover(std::uint64_t era,
+                std::function<void(core::gateway::peers_discovered)> on_discovered);
   // Writes the departure record of this daemon. `on_result` receives whether the store has
   // acknowledged it, and the era of the store then.
   void record_departure(const core::gateway::upstream_incarnation& departed,
@@ -37,7 +38,7 @@
   std::string host_;
   std::string name_;
   std::function<void(const std::string&)> on_malformed_;
-  bool is_registered_ = false;
+  std::optional<std::uint64_t> registered_era_; // era of the store that has the registration
 };
 
 } // namespace arbutuslb::runtime
--- /dev/null
+++ b/src/arbutuslb/runtime/member_registry_test.cc
@@ -0,0 +1,39 @@
+// Tests of the registry of daemons against the stand-in store on loopback.
+
+#include "arbutuslb/runtime/member_registry.h"
+#include "arbutuslb/runtime/store_test_support.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+namespace {
+
+namespace gateway = arbutuslb::core::gateway;
+using arbutuslb::runtime::store_fixture;
+
+// Registers a daemon and returns what it reads.
+gateway::peers_discovered
+discover(store_fixture& fixture, arbutuslb::runtime::member_registry& members, std::uint64_t era) {
+  std::optional<gateway::peers_discovered> found;
+  members.discover(era, [&](gateway::peers_discovered peers) { found = std::move(peers); });
+  cr_assert(fixture.run_until([&] { return found.has_value(); }));
+  return std::move(*found);
+}
+
+bool lists(const gateway::peers_discovered& found, const std::string& host) {
+  return std::find(found.hosts.begin(), found.hosts.end(), host) != found.hosts.end();
+}
+
+} // namespace
+
+Test(member_registry, a_registration_that_the_copy_lacks_is_written_again) {
+  store_fixture fixture;
+  arbutuslb::runtime::member_registry members(fixture.client, "10.0.0.7", "seven",
+                                              [](const std::string&) {});
+  cr_assert(lists(discover(fixture, members, 0), "10.0.0.7"));
+  const std::uint64_t calls = fixture.store.calls();
+  cr_assert(lists(discover(fixture, members, 1), "10.0.0.7"));
+  cr_assert_eq(fixture.store.calls(), calls + 1);
+  fixture.store.restore(std::chrono::hours{1});
+  cr_assert(lists(discover(fixture, members, 2), "10.0.0.7"));
+}
--- a/src/arbutuslb/runtime/order_follower_test.cc
+++ b/src/arbutuslb/runtime/order_follower_test.cc
@@ -1,31 +1,21 @@
 // Tests of the follower of the operators' log against the stand-in store on loopback.
 
-#include "arbutuslb/fakes/platform_store.h"
 #include "arbutuslb/platform/orders.h"
 #include "arbutuslb/runtime/order_follower.h"
+#include "arbutuslb/runtime/store_test_support.h"
 
-#include <asio/ip/tcp.hpp>
 #include <criterion/criterion.h>
 
 namespace {
 
 using namespace std::chrono_literals;
-using arbutuslb::fakes::platform_store;
 namespace platform = arbutuslb::platform;
 namespace runtime = arbutuslb::runtime;
-using asio::ip::tcp;
 
-tcp::endpoint free_address(asio::io_context& loop) {
-  tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
-  return probe.local_endpoint();
-}
-
-// A follower of the log of a stand-in store, and what it has delivered.
-struct follower_fixture {
+// A follower of the operators' log, and what it has delivered.
+struct follower_fixture : runtime::store_fixture {
   follower_fixture()
-      : address(free_address(loop)), store(loop, address, 1), connections(loop),
-        client(connections, address),
-        follower(
+      : follower(
             loop, client, 1,
             [this](const platform::read_result& read, bool) {
               for (const platform::store_record& item : read.records) {
@@ -40,25 +30,11 @@
                   [&](const platform::append_result&) { is_done = true; });
     run_until([&] { return is_done; });
   }
-  // Runs the event loop until `is_done` holds. Gives up after a number of turns.
-  bool run_until(const std::function<bool()>& is_done) {
-    constexpr int max_turns = 300;
-    for (int i = 0; i < max_turns && !is_done(); ++i) {
-      loop.run_for(10ms);
-      loop.restart();
-    }
-    return is_done();
-  }
   bool has(const std::string& key, const std::string& value) const {
     const auto found = values.find(key);
     return found != values.end() && found->second == value;
   }
 
-  asio::io_context loop;
-  tcp::endpoint address;
-  platform_store store;
-  runtime::http::client connections;
-  platform::store_client client;
   std::map<std::string, std::string> values; // delivered, by key
   runtime::order_follower follower;
 };
--- /dev/null
+++ b/src/arbutuslb/runtime/store_test_support.h
@@ -0,0 +1,41 @@
+// Test support: a stand-in store on loopback with a client.
+#pragma once
+
+#include "arbutuslb/fakes/platform_store.h"
+#include "arbutuslb/platform/store_client.h"
+
+#include <asio/ip/tcp.hpp>
+#include <functional>
+
+namespace arbutuslb::runtime {
+
+struct store_fixture {
+  store_fixture()
+      : address(free_address()), store(loop, address, 1), connections(loop),
+        client(connections, address) {}
+
+  // Runs the event loop until `is_done` holds. Gives up after a number of turns; returns whether it
+  // holds then.
+  bool run_until(const std::function<bool()>& is_done) {
+    constexpr int max_turns = 300;
+    for (int i = 0; i < max_turns && !is_done(); ++i) {
+      loop.run_for(std::chrono::milliseconds{10});
+      loop.restart();
+    }
+    return is_done();
+  }
+
+  asio::io_context loop;
+  asio::ip::tcp::endpoint address;
+  fakes::platform_store store;
+  http::client connections;
+  platform::store_client client;
+
+private:
+  asio::ip::tcp::endpoint free_address() {
+    asio::ip::tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
+    return probe.local_endpoint();
+  }
+};
+
+} // namespace arbutuslb::runtime
