All pages of a read of the newest records are of one era

Users would have seen: orders that no log ever had together, such as a withdrawal of the earlier era with a configuration of the copy. Cause: a read takes several pages; if the store comes back from a copy between two of them, they are of two logs (found by reading). Change: when a page states another era than the first one, the read begins again. Figures: test store_client::pages_of_two_eras_do_not_become_one_result failed before and passes now. The number of repeats is bounded by the number of restores.

--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -307,3 +307,60 @@
   cr_assert_eq(tail.records.at(0).offset, 8);
   cr_assert_eq(tail.end_offset, 9);
 }
+
+namespace {
+
+// A store on loopback that gives the answers of a list, in order, and a client of it.
+struct scripted_store {
+  explicit scripted_store(std::vector<core::http_response> script)
+      : address(free_address()), answers(std::move(script)),
+        server(loop, address,
+               {[this](std::uint64_t token, const core::http_request& request) {
+                  targets.push_back(request.target);
+                  server.respond(token, answers.at(targets.size() - 1));
+                },
+                [](std::uint64_t) {}}),
+        connections(loop), client(connections, address) {}
+
+  read_result read_newest() {
+    std::optional<read_result> read;
+    client.read_newest("keyed.t", [&](read_result result) { read = std::move(result); });
+    while (!read) {
+      loop.run_one();
+      loop.restart();
+    }
+    return std::move(*read);
+  }
+  asio::ip::tcp::endpoint free_address() {
+    asio::ip::tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
+    return probe.local_endpoint();
+  }
+
+  asio::io_context loop;
+  asio::ip::tcp::endpoint address;
+  std::vector<core::http_response> answers;
+  std::vector<std::string> targets; // requested so far
+  http::server server;
+  http::client connections;
+  store_client client;
+};
+
+core::http_response page(const std::string& era, const std::string& key, bool has_more) {
+  return {200,
+          {{"Store-Era", era}},
+          R"({"items":[{"key":")" + key + R"(","value":"aGVsbG8=","offset":4}],"more":)" +
+              (has_more ? "true" : "false") + R"(,"endOffset":6})"};
+}
+
+} // namespace
+
+Test(store_client, pages_of_two_eras_do_not_become_one_result) {
+  scripted_store store(
+      {page("1", "a", true), page("2", "b", false), page("2", "c", true), page("2", "d", false)});
+  const read_result read = store.read_newest();
+  cr_assert(read.status == read_status::ok);
+  cr_assert_eq(read.era, 2);
+  cr_assert_eq(read.records.size(), 2);
+  cr_assert_eq(read.records.at(0).key, "c");
+  cr_assert_eq(read.records.at(1).key, "d");
+}
--- a/src/arbutuslb/platform/store_client.cc
+++ b/src/arbutuslb/platform/store_client.cc
@@ -177,7 +177,7 @@
   if (!after.empty()) {
     request.target += "&after=" + after;
   }
-  const auto on_answer = [this, topic, partial_result = std::move(partial_result),
+  const auto on_answer = [this, topic, after, partial_result = std::move(partial_result),
                           on_result =
                               std::move(on_result)](http::exchange_result exchange) mutable {
     if (exchange.outcome != http::exchange_outcome::answered ||
@@ -185,6 +185,12 @@
       on_result(failed_read(exchange));
       return;
     }
+    const std::uint64_t era = decode_era(exchange.answer);
+    if (!after.empty() && era != partial_result.era) {
+      read_page(topic, "", {}, std::move(on_result)); // the earlier pages are of another log
+      return;
+    }
+    partial_result.era = era;
     const json page = json::parse(exchange.answer.body, nullptr, false);
     if (!page.is_object() || !page.contains("items") || !page["items"].is_array()) {
       partial_result.reason = "answer is not a JSON object with an array of items";
@@ -206,7 +212,6 @@
       read_page(topic, last_key, std::move(partial_result), std::move(on_result));
       return;
     }
-    partial_result.era = decode_era(exchange.answer);
     partial_result.status = read_status::ok;
     on_result(std::move(partial_result));
   };
--- a/src/arbutuslb/platform/store_client.h
+++ b/src/arbutuslb/platform/store_client.h
@@ -48,7 +48,7 @@
 public:
   store_client(runtime::http::client& connections, const asio::ip::tcp::endpoint& address);
 
-  // Reads the newest record of every key.
+  // Reads the newest record of every key. All pages of the result are of one era.
   void read_newest(const std::string& topic, std::function<void(read_result)> on_result);
   // Reads the records from `from_offset`; waits up to `wait` for the first. Returns an id for
   // `cancel`.
