A malformed page of the newest records fails the read and no longer ends the process

Users would have seen: every daemon that reads such an answer exits, and again after each restart. A page that announced more records without a key to continue from passed as complete. Change: each field of a page is required with its type; otherwise the read fails with a reason, and its caller repeats it. Figures: test store_client::a_malformed_page_fails_the_read ended its process before and passes now.

--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -364,3 +364,17 @@
   cr_assert_eq(read.records.at(0).key, "c");
   cr_assert_eq(read.records.at(1).key, "d");
 }
+
+Test(store_client, a_malformed_page_fails_the_read) {
+  for (const char* body :
+       {R"({"items":[7]})", R"({"items":[{"value":"aGVsbG8="}]})", R"({"items":[{"key":7}]})",
+        R"({"items":[{"key":"a","value":"aGVsbG8=","offset":"4"}]})",
+        R"({"items":[],"endOffset":"many"})", R"({"items":[],"endOffset":6,"more":"yes"})",
+        R"({"items":{}})", "[", "", R"({"items":[],"endOffset":6,"more":true})",
+        R"({"items":[{"key":"a","value":"!!!!","offset":4}],"endOffset":6,"more":false})"}) {
+    scripted_store store({{200, {{"Store-Era", "many"}}, body}});
+    const read_result read = store.read_newest();
+    cr_assert(read.status == read_status::failed, "%s", body);
+    cr_assert_not(read.reason.empty());
+  }
+}
--- a/src/arbutuslb/platform/store_client.cc
+++ b/src/arbutuslb/platform/store_client.cc
@@ -93,6 +93,32 @@
   return result;
 }
 
+// Adds the records of a page to `result`. Returns the key after which the next page begins; empty
+// if this is the last one. Throws an exception derived from `std::exception` if a field is missing
+// or of another type.
+std::string decode_page(const std::string& body, bool is_first, read_result& result) {
+  const json page = json::parse(body);
+  std::string last_key;
+  for (const json& item : page.at("items").get_ref<const json::array_t&>()) {
+    last_key = item.at("key").get<std::string>();
+    result.records.push_back({item.at("offset").get<std::uint64_t>(), last_key,
+                              decode_base64(item.at("value").get<std::string>())});
+  }
+  // Keeps the end offset of the first page, so that records written between two pages are read
+  // again from there.
+  const std::uint64_t end_offset = page.at("endOffset").get<std::uint64_t>();
+  if (is_first) {
+    result.end_offset = end_offset;
+  }
+  if (!page.at("more").get<bool>()) {
+    return "";
+  }
+  if (last_key.empty()) {
+    throw std::runtime_error("more records are announced, but there is no key to continue from");
+  }
+  return last_key;
+}
+
 std::string encode_record(const std::string& key, const std::string& value) {
   std::string content;
   content.push_back(static_cast<char>(key.size()));
@@ -191,25 +217,16 @@
       return;
     }
     partial_result.era = era;
-    const json page = json::parse(exchange.answer.body, nullptr, false);
-    if (!page.is_object() || !page.contains("items") || !page["items"].is_array()) {
-      partial_result.reason = "answer is not a JSON object with an array of items";
+    std::string next_key;
+    try {
+      next_key = decode_page(exchange.answer.body, after.empty(), partial_result);
+    } catch (const std::exception& error) {
+      partial_result.reason = std::string("malformed page: ") + error.what();
       on_result(std::move(partial_result));
       return;
     }
-    std::string last_key;
-    for (const json& item : page["items"]) {
-      last_key = item.value("key", "");
-      partial_result.records.push_back({item.value("offset", std::uint64_t{0}), last_key,
-                                        decode_base64(item.value("value", ""))});
-    }
-    // Keeps the end offset of the first page, so that records written between two pages are read
-    // again from there.
-    if (partial_result.end_offset == 0) {
-      partial_result.end_offset = page.value("endOffset", std::uint64_t{0});
-    }
-    if (page.value("more", false) && !last_key.empty()) {
-      read_page(topic, last_key, std::move(partial_result), std::move(on_result));
+    if (!next_key.empty()) {
+      read_page(topic, next_key, std::move(partial_result), std::move(on_result));
       return;
     }
     partial_result.status = read_status::ok;
