An outcome record with fields of another type is skipped

Change: such a record is no outcome. Figures: test orders::an_outcome_with_fields_of_another_type_is_no_outcome ended its process before and passes now.

--- a/src/arbutuslb/platform/orders.cc
+++ b/src/arbutuslb/platform/orders.cc
@@ -209,14 +209,19 @@
   if (!key.starts_with(rollout_prefix)) {
     return std::nullopt;
   }
+  finding_list findings;
   const json parsed = json::parse(value, nullptr, false);
   if (!parsed.is_object()) {
     return std::nullopt;
   }
+  object_reader reader(parsed, "", findings);
   gateway::outcomes_read::outcome outcome;
   outcome.service = key.substr(rollout_prefix.size());
-  outcome.target_version = parsed.value("targetVersion", "");
-  const std::string state = parsed.value("state", "");
+  outcome.target_version = reader.required_string("targetVersion");
+  const std::string state = reader.required_string("state");
+  if (!findings.empty()) {
+    return std::nullopt;
+  }
   if (state == "completed") {
     outcome.phase = gateway::rollout_phase::completed;
   } else if (state == "rolled_back") {
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -378,3 +378,12 @@
     cr_assert_not(read.reason.empty());
   }
 }
+
+Test(orders, an_outcome_with_fields_of_another_type_is_no_outcome) {
+  for (const char* text : {R"({"targetVersion":7})", R"({"targetVersion":"v2","state":[]})", "[]",
+                           R"({"state":"completed"})"}) {
+    cr_assert_not(decode_outcome("rollout/menu", text).has_value(), "%s", text);
+  }
+  cr_assert(
+      decode_outcome("rollout/menu", R"({"targetVersion":"v2","state":"running"})").has_value());
+}
