A late heartbeat no longer ends the assumed cold time of an upstream

Users would have seen: an upstream of a domain that has just come back into use gets more requests than it bears while cold (FAILBACK).

--- a/src/arbutuslb/core/gateway/upstream_registry.cc
+++ b/src/arbutuslb/core/gateway/upstream_registry.cc
@@ -76,7 +76,8 @@
   if (value.cold_for > duration::zero()) {
     return reported_end;
   }
-  const bool was_cold = is_cold(now) && upstream_->instance_id == value.instance_id &&
+  const bool was_cold = upstream_ && now < upstream_->cold_until &&
+                        upstream_->instance_id == value.instance_id &&
                         upstream_->started_ms == value.started_ms;
   return was_cold ? std::min(upstream_->cold_until, reported_end) : time_point{};
 }
@@ -129,12 +130,6 @@
   return true;
 }
 
-void upstream_registry::assume_cold(time_point until) {
-  if (upstream_) {
-    upstream_->cold_until = std::max(upstream_->cold_until, until);
-  }
-}
-
 bool upstream_registry::is_usable(time_point now) const {
   if (now < unusable_until_ || !upstream_ || upstream_->state != upstream_lifecycle::ready ||
       is_unreachable_) {
--- a/src/arbutuslb/core/gateway/upstream_registry.h
+++ b/src/arbutuslb/core/gateway/upstream_registry.h
@@ -76,14 +76,17 @@
   void on_unreachable() { is_unreachable_ = true; }
   // The upstream has answered a request: for a time, it is not treated as down without heartbeats.
   void on_response(time_point now) { last_response_ = now; }
-  // Treats the upstream as cold until `until`, or until shortly after its next heartbeat.
-  void assume_cold(time_point until);
+  // Treats the upstream as cold until `until`, whatever its heartbeats report: they may have been
+  // sent before.
+  void assume_cold(time_point until) { assumed_cold_until_ = until; }
 
   // Returns the upstream of the last accepted heartbeat; nothing before the first.
   const std::optional<registered_upstream>& upstream() const noexcept { return upstream_; }
   // Returns true if requests may be sent to the upstream.
   bool is_usable(time_point now) const;
-  bool is_cold(time_point now) const { return upstream_ && now < upstream_->cold_until; }
+  bool is_cold(time_point now) const {
+    return upstream_ && (now < upstream_->cold_until || now < assumed_cold_until_);
+  }
 
 private:
   std::string local_address_;
@@ -97,6 +100,7 @@
   std::optional<upstream_incarnation> departed_;
   time_point departed_at_{};
   time_point unusable_until_{};
+  time_point assumed_cold_until_{};
   time_point last_response_{};
   bool is_unreachable_ = false;
 };
