A store that states its first era after a restore begins a new era

Cause: an era of zero was taken for a process that has read nothing yet. Change: whether anything was read before decides, not the number of the era.

--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -182,7 +182,7 @@
 // --- operator records ---
 
 void gateway_core::on_operator_records(operator_records_received value) {
-  const std::uint64_t previous_era = shared_.operator_records.end().era;
+  const log_position previous_end = shared_.operator_records.end();
   bool has_changes = false;
   std::set<std::string> keys;
   for (operator_record& record : value.records) {
@@ -212,10 +212,10 @@
     shared_.write(engine::severity::info, "orders_removed", {{"end", to_string(value.end)}});
   }
   shared_.operator_records.advance_to(value.end, shared_.now);
-  if (previous_era != 0 && shared_.operator_records.end().era != previous_era) {
-    shared_.write(engine::severity::info, "era_changed",
-                  {{"from", std::to_string(previous_era)},
-                   {"end", to_string(shared_.operator_records.end())}});
+  if (previous_end != log_position{} && shared_.operator_records.end().era != previous_end.era) {
+    shared_.write(
+        engine::severity::info, "era_changed",
+        {{"from", to_string(previous_end)}, {"end", to_string(shared_.operator_records.end())}});
     // The store may have lost the registrations of this daemon and its peers.
     next_discovery_ =
         std::min(next_discovery_, shared_.now + shared_.random.jitter(registration_spread));
--- a/src/arbutuslb/core/gateway/operator_state.cc
+++ b/src/arbutuslb/core/gateway/operator_state.cc
@@ -22,7 +22,7 @@
 }
 
 void operator_state::advance_to(const log_position& end, time_point now) {
-  if (end.era > end_.era && end_.era != 0) {
+  if (end.era > end_.era && !records_.empty()) {
     reconciled_at_ = now + reconciliation_time;
   }
   end_ = std::max(end_, end);
--- a/src/arbutuslb/core/gateway/store_restore_test.cc
+++ b/src/arbutuslb/core/gateway/store_restore_test.cc
@@ -223,3 +223,13 @@
   fixture.fleet.run_for(1s);
   cr_assert_eq(fixture.count_log("rollout_step"), steps);
 }
+
+Test(store_restore, a_store_that_states_its_first_era_after_a_restore_begins_a_new_one) {
+  gateway::operator_state state;
+  const arbutuslb::core::time_point now{};
+  state.apply({{0, 2}, "evacuate/a", "", gateway::domain_withdrawal{"a"}}, now);
+  state.advance_to({1, 1}, now);
+  cr_assert(state.is_withdrawn("a"));
+  cr_assert(state.reconcile(now + gateway::reconciliation_time));
+  cr_assert_not(state.is_withdrawn("a"));
+}
