The soak's store comes back from an older copy after some of its outages

Change: half of the outages end with a restore of up to six seconds; the stand-in writes the newest record of each of the operators' keys again. Restores draw from a random source of their own, so that the other faults of a seed stay as they were.

--- a/src/arbutuslb/fakes/platform_store.cc
+++ b/src/arbutuslb/fakes/platform_store.cc
@@ -148,10 +148,21 @@
   return status_ok;
 }
 
-void platform_store::restore(core::duration age) {
+void platform_store::restore(core::duration age, const std::string& rewritten_topic) {
   const std::chrono::steady_clock::time_point copied = std::chrono::steady_clock::now() - age;
   for (auto& [topic, records] : topics_) {
+    std::map<std::string, record> dropped; // newest, by key
+    for (const record& item : records) {
+      if (item.appended_at > copied) {
+        dropped[item.key] = item;
+      }
+    }
     std::erase_if(records, [&](const record& item) { return item.appended_at > copied; });
+    if (topic == rewritten_topic) {
+      for (const auto& [key, item] : dropped) {
+        records.push_back(item);
+      }
+    }
   }
   ++era_;
   for (const pending_read& item : std::exchange(pending_reads_, {})) {
--- a/src/arbutuslb/fakes/platform_store.h
+++ b/src/arbutuslb/fakes/platform_store.h
@@ -38,7 +38,8 @@
 
   store_faults& faults() { return faults_; }
   // Drops the records that were appended within `age`, as if the store had come back from a copy.
-  void restore(core::duration age);
+  // Of `rewritten_topic`, the newest record of each key is appended again if it was dropped.
+  void restore(core::duration age, const std::string& rewritten_topic = "");
   // Returns the number of requests received.
   std::uint64_t calls() const noexcept { return calls_; }
   // Checks the time limits of the HTTP server. Call it at least four times a second.
--- a/src/arbutuslb/soak/soak.cc
+++ b/src/arbutuslb/soak/soak.cc
@@ -39,6 +39,10 @@
 constexpr std::chrono::seconds final_check_time{3};
 constexpr std::size_t domains = 2;
 constexpr const char* host_name = "soak.example";
+constexpr const char* operator_topic = "keyed.op";
+// Part of the outages after which the store comes back from a copy, and the age of the copy.
+constexpr double restored_ratio = 0.5;
+constexpr std::chrono::seconds max_restore_age{6};
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 
@@ -63,7 +67,7 @@
 class soak {
 public:
   explicit soak(const soak_options& options)
-      : options_(options), random_(options.seed),
+      : options_(options), random_(options.seed), restore_random_(~options.seed),
         ledger_([this](const std::string& promise, const std::string& id) { report(promise, id); }),
         store_(loop_, {address(true, 1), store_port}, random_.bits()), client_(loop_),
         operator_connections_(loop_),
@@ -87,9 +91,9 @@
     std::cout << "event=soak_result seed=" << options_.seed << " sent=" << totals.sent
               << " answered=" << totals.answered << " refused=" << totals.refused
               << " unknown=" << totals.unknown << " runs=" << totals.executions
-              << " faults=" << fault_count_ << " versions=" << version_
-              << " broken=" << broken_count_ << " result=" << (broken_count_ == 0 ? "ok" : "failed")
-              << std::endl;
+              << " faults=" << fault_count_ << " restores=" << restore_count_
+              << " versions=" << version_ << " broken=" << broken_count_
+              << " result=" << (broken_count_ == 0 ? "ok" : "failed") << std::endl;
     return broken_count_;
   }
 
@@ -211,7 +215,7 @@
                      {"services",
                       {{"shop", {{"coldStart", "3s"}, {"coldPerS", 17.0}}},
                        {"desk", {{"coldStart", "3s"}, {"coldPerS", 17.0}}}}}};
-    operator_.append("keyed.op", "config", value.dump(), std::nullopt,
+    operator_.append(operator_topic, "config", value.dump(), std::nullopt,
                      [this, version](const platform::append_result& result) {
                        if (result.status == platform::append_status::appended) {
                          const time_point since = clock_.now();
@@ -362,7 +366,14 @@
     faults.late_append_ratio = kind == fault_kind::store_late ? 0.3 : 0.0;
     store_.faults() = faults;
     store_disturbed_until_ = clock_.now() + time;
-    after(time, [this] { store_.faults() = {}; });
+    const bool is_restored = faults.is_down && restore_random_.fraction() < restored_ratio;
+    restore_count_ += is_restored ? 1 : 0;
+    after(time, [this, is_restored] {
+      if (is_restored) {
+        store_.restore(restore_random_.jitter(max_restore_age), operator_topic);
+      }
+      store_.faults() = {};
+    });
   }
 
   // --- time ---
@@ -409,6 +420,8 @@
 
   soak_options options_;
   core::random_source random_;
+  // Its own source, so that the other faults of a seed do not depend on restores.
+  core::random_source restore_random_;
   asio::io_context loop_{1};
   runtime::anchored_clock clock_;
   ledger ledger_;
@@ -422,6 +435,7 @@
   std::uint64_t last_call_ = 0;
   std::uint64_t version_ = 0;
   int fault_count_ = 0;
+  int restore_count_ = 0;
   int broken_count_ = 0;
   bool is_recovering_ = false;
   bool is_final_check_ = false;
