--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -161,7 +161,7 @@
   }
   if (shared_.operator_records.reconcile(shared_.now)) {
     shared_.write(engine::severity::info, "orders_reconciled",
-                  {{"end", to_string(shared_.operator_records.end())}});
+                  {{"end", std::to_string(shared_.operator_records.end().offset)}});
     on_orders_changed();
   }
   gate_.on_tick();
@@ -190,32 +190,40 @@
     keys.insert(key);
     const log_position position = record.position;
     if (const auto* unreadable = std::get_if<unreadable_record>(&record.value)) {
-      shared_.write(
-          engine::severity::error, "order_unreadable",
-          {{"key", key}, {"position", to_string(position)}, {"reason", unreadable->reason}});
+      shared_.write(engine::severity::error, "order_unreadable",
+                    {{"key", key},
+                     {"era", std::to_string(position.era)},
+                     {"offset", std::to_string(position.offset)},
+                     {"reason", unreadable->reason}});
     }
     const apply_result result = shared_.operator_records.apply(std::move(record), shared_.now);
     if (result != apply_result::applied) {
       shared_.write(engine::severity::info, "order_ignored",
                     {{"key", key},
-                     {"position", to_string(position)},
-                     {"end", to_string(shared_.operator_records.end())},
+                     {"era", std::to_string(position.era)},
+                     {"offset", std::to_string(position.offset)},
+                     {"end", std::to_string(shared_.operator_records.end().offset)},
                      {"reason", to_string(result)}});
       continue;
     }
     has_changes = true;
     shared_.write(engine::severity::info, "order_applied",
-                  {{"key", key}, {"position", to_string(position)}});
+                  {{"key", key},
+                   {"era", std::to_string(position.era)},
+                   {"offset", std::to_string(position.offset)}});
   }
   if (value.is_complete && shared_.operator_records.remove_absent(keys, value.end)) {
     has_changes = true;
-    shared_.write(engine::severity::info, "orders_removed", {{"end", to_string(value.end)}});
+    shared_.write(
+        engine::severity::info, "orders_removed",
+        {{"era", std::to_string(value.end.era)}, {"end", std::to_string(value.end.offset)}});
   }
   shared_.operator_records.advance_to(value.end, shared_.now);
   if (previous_end != log_position{} && shared_.operator_records.end().era != previous_end.era) {
-    shared_.write(
-        engine::severity::info, "era_changed",
-        {{"from", to_string(previous_end)}, {"end", to_string(shared_.operator_records.end())}});
+    shared_.write(engine::severity::info, "era_changed",
+                  {{"from", std::to_string(previous_end.era)},
+                   {"era", std::to_string(shared_.operator_records.end().era)},
+                   {"end", std::to_string(shared_.operator_records.end().offset)}});
     // The store may have lost the registrations of this daemon and its peers.
     next_discovery_ =
         std::min(next_discovery_, shared_.now + shared_.random.jitter(registration_spread));
@@ -248,7 +256,8 @@
     is_reader_ = is_selected;
     shared_.write(engine::severity::info, "reader_changed",
                   {{"is_reader", is_reader_ ? "true" : "false"},
-                   {"orders_end", to_string(shared_.operator_records.end())}});
+                   {"era", std::to_string(shared_.operator_records.end().era)},
+                   {"orders_end", std::to_string(shared_.operator_records.end().offset)}});
     shared_.add_action(follow_operator_log{is_reader_});
   }
 }
--- a/src/arbutuslb/core/gateway/log_position.h
+++ b/src/arbutuslb/core/gateway/log_position.h
@@ -9,7 +9,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <string>
 
 namespace arbutuslb::core::gateway {
 
@@ -19,9 +18,4 @@
   friend auto operator<=>(const log_position&, const log_position&) = default;
 };
 
-// Formats a position for log lines, such as "2:17".
-inline std::string to_string(const log_position& value) {
-  return std::to_string(value.era) + ":" + std::to_string(value.offset);
-}
-
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/soak/soak.cc
+++ b/src/arbutuslb/soak/soak.cc
@@ -42,7 +42,7 @@
 constexpr const char* operator_topic = "keyed.op";
 // Part of the outages after which the store comes back from a copy, and the age of the copy.
 constexpr double restored_ratio = 0.5;
-constexpr std::chrono::seconds max_restore_age{6};
+constexpr std::chrono::seconds max_restore_age{20};
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 
