The soak probes versions that newer ones have followed

Cause: the soak asked for the route of a version two seconds after its confirmation, but a new version replaced that route every 1.5 s, so the check of propagation never ran; that is also why the soak with a restored store passed on the sources before the fix. Change: a configuration keeps the routes of the last four versions, and a version is probed as long as the newest one has its route. Stricter than before; the bound is unchanged.

--- a/src/arbutuslb/soak/soak.cc
+++ b/src/arbutuslb/soak/soak.cc
@@ -34,6 +34,9 @@
 constexpr std::chrono::milliseconds mean_fault_interval{350};
 constexpr std::chrono::milliseconds max_fault_time{2500};
 constexpr std::chrono::milliseconds publish_period{1500};
+// Versions whose routes a configuration has: a version's route is probed after `propagation_bound`,
+// when newer ones have been published.
+constexpr std::uint64_t kept_versions = 4;
 constexpr std::chrono::milliseconds departure_period{2500};
 constexpr std::chrono::milliseconds sweep_period{50};
 constexpr std::chrono::seconds final_check_time{3};
@@ -209,7 +212,10 @@
     json routes;
     routes["menu"] = route("/menu/", "safe", "shop");
     routes["orders"] = route("/orders/", "unsafe", "desk");
-    routes["version"] = route(version_path(version), "safe", "shop");
+    const std::uint64_t oldest = version < kept_versions ? 1 : version - kept_versions + 1;
+    for (std::uint64_t kept = oldest; kept <= version; ++kept) {
+      routes["version-" + std::to_string(kept)] = route(version_path(kept), "safe", "shop");
+    }
     const json value{{"version", "r" + std::to_string(version)},
                      {"routes", routes},
                      {"services",
@@ -225,6 +231,9 @@
                      });
   }
 
+  // Returns true if the newest configuration still has the route of this version.
+  bool has_route(std::uint64_t version) const { return version + kept_versions > version_; }
+
   static std::string version_path(std::uint64_t version) {
     return "/v" + std::to_string(version) + "/";
   }
@@ -237,8 +246,8 @@
 
   void probe(std::uint64_t version, time_point acknowledged_at) {
     site& instance = *sites_[random_.below(sites_.size())];
-    if (instance.is_unavailable || version != version_) {
-      return; // a newer version has replaced the route
+    if (instance.is_unavailable || !has_route(version)) {
+      return;
     }
     const std::uint64_t generation = instance.generation;
     const std::string id = "p-" + std::to_string(version);
@@ -256,7 +265,7 @@
            const bool is_undisturbed =
                instance.disturbed_until < acknowledged_at - stability_window &&
                store_disturbed_until_ < acknowledged_at - stability_window;
-           if (end.answer.status == status_not_found && version == version_ && is_undisturbed &&
+           if (end.answer.status == status_not_found && has_route(version) && is_undisturbed &&
                options_.checks_times) {
              report("a configuration version was not in force in time", id);
            }
