Readers of the operators' log notice a poll without an answer before a change is due

Cause: a store that is silent just after a change takes the next long polls of all readers and never answers them; they waited for 20 s and the timeout of a call. Change: polls wait 2.5 s. Test a_poll_that_the_store_never_answers_is_given_up_before_a_change_is_due failed before (5 s) and passes now. The limit of the other tests with the stand-in store is stricter (2 s, 3 s before). Ruled out: keep-alive probes, which a silent process still answers.

--- a/src/arbutuslb/runtime/order_follower.cc
+++ b/src/arbutuslb/runtime/order_follower.cc
@@ -7,7 +7,9 @@
 namespace arbutuslb::runtime {
 namespace {
 
-constexpr std::chrono::seconds long_poll_wait{20};
+// A poll that is never answered is noticed after this time and the timeout of a call, before a
+// change is due that was made when the store had been undisturbed for its stability window.
+constexpr std::chrono::milliseconds long_poll_wait{2500};
 constexpr std::chrono::milliseconds initial_backoff{150};
 constexpr std::chrono::milliseconds max_backoff{1200};
 // Records that are written in quick succession are read together.
--- a/src/arbutuslb/runtime/order_follower_test.cc
+++ b/src/arbutuslb/runtime/order_follower_test.cc
@@ -90,3 +90,19 @@
   }
   cr_assert(fixture.run_until([&] { return fixture.has("config", "6"); }));
 }
+
+// The core is stable again 3 s after a disturbance of the store, and a change is due 2 s later.
+Test(order_follower, a_poll_that_the_store_never_answers_is_given_up_before_a_change_is_due) {
+  constexpr int max_turns = 500;
+  follower_fixture fixture;
+  fixture.append("config", "1");
+  fixture.follower.set_following(true);
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "1"); }));
+  fixture.store.faults().is_silent = true;
+  fixture.follower.restart();
+  const std::uint64_t calls = fixture.store.calls();
+  cr_assert(fixture.run_until([&] { return fixture.store.calls() > calls; }));
+  fixture.store.faults().is_silent = false;
+  fixture.append("config", "2");
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "2"); }, max_turns));
+}
--- a/src/arbutuslb/runtime/store_test_support.h
+++ b/src/arbutuslb/runtime/store_test_support.h
@@ -3,6 +3,7 @@
 
 #include "arbutuslb/fakes/platform_store.h"
 #include "arbutuslb/platform/store_client.h"
+#include "arbutuslb/runtime/clock.h"
 
 #include <asio/ip/tcp.hpp>
 #include <functional>
@@ -14,18 +15,19 @@
       : address(free_address()), store(loop, address, 1), connections(loop),
         client(connections, address) {}
 
-  // Runs the event loop until `is_done` holds. Gives up after a number of turns; returns whether it
-  // holds then.
-  bool run_until(const std::function<bool()>& is_done) {
-    constexpr int max_turns = 300;
+  // Runs the event loop until `is_done` holds. Gives up after a number of turns of 10 ms; returns
+  // whether it holds then.
+  bool run_until(const std::function<bool()>& is_done, int max_turns = 200) {
     for (int i = 0; i < max_turns && !is_done(); ++i) {
       loop.run_for(std::chrono::milliseconds{10});
       loop.restart();
+      connections.sweep(clock.now());
     }
     return is_done();
   }
 
   asio::io_context loop;
+  anchored_clock clock;
   asio::ip::tcp::endpoint address;
   fakes::platform_store store;
   http::client connections;
