A gate logs which requests the death of its upstream has interrupted

Change: after a connection of a running request broke, the gate tries to connect to its upstream; a refused connection means that it has died. The log line upstream_died has the interrupted requests with fingerprints (host, method, target, credentials, body), whether the upstream was cold and what it had just got; counter upstream_deaths_total. The connection that the probe opens serves the next request, so a broken one costs no further connection. Which requests run where is unchanged.

Ruled out: taking a broken connection itself for a death; answers are cut and lost by living upstreams. Taking any failed connection for one; a full accept queue drops the opening packet.

Conclusion: the evidence for containment is at hand at the gate, within a round trip on the instance.

--- a/src/arbutuslb/core/base/hash.h
+++ b/src/arbutuslb/core/base/hash.h
@@ -6,6 +6,7 @@
 #include "arbutuslb/core/base/ids.h"
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace arbutuslb::core {
@@ -13,6 +14,9 @@
 // Returns a 64-bit hash of `bytes` that is equal on every machine. Not cryptographic.
 std::uint64_t hash_bytes(std::string_view bytes, std::uint64_t seed = 0);
 
+// Returns the value as 16 hexadecimal digits.
+std::string to_hexadecimal(std::uint64_t value);
+
 // Returns the id of the daemon on the instance called `instance_name`.
 member_id member_id_of(std::string_view instance_name);
 
--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -48,6 +48,16 @@
   run_result result;
   bool is_unreachable = false; // no connection could be established
   bool is_silent = false;      // no answer came in time; the connection did not break
+  bool is_broken = false;      // the upstream's connection broke before its answer was complete
+};
+enum class probe_outcome : std::uint8_t {
+  reachable,
+  refused, // no process listens at the upstream's address
+  unknown
+};
+// Completes `probe_upstream`.
+struct upstream_probed {
+  probe_outcome outcome = probe_outcome::unknown;
 };
 struct heartbeat_received {
   std::uint64_t token = 0;
@@ -106,7 +116,7 @@
 struct stop_requested {};
 
 using event = std::variant<tick, call_received, caller_disconnected, run_requested,
-                           peer_disconnected, attempt_written, attempt_completed,
+                           peer_disconnected, attempt_written, attempt_completed, upstream_probed,
                            heartbeat_received, deregistration_received, operator_records_received,
                            reports_received, store_reachability_changed, peers_discovered,
                            departure_recorded, outcomes_read, outcome_recorded, stop_requested>;
@@ -133,6 +143,8 @@
   std::string address;
   run_request request;
 };
+// Tries to connect to the local upstream. Answered by one `upstream_probed`.
+struct probe_upstream {};
 // Cancels an attempt. No `attempt_completed` follows.
 struct cancel_attempt {
   std::uint64_t attempt = 0;
@@ -178,9 +190,9 @@
 struct exit_process {};
 
 using action =
-    std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream, cancel_attempt,
-                 acknowledge_heartbeat, send_reports, follow_operator_log, fetch_operator_records,
-                 discover_peers, record_departure, read_outcomes, record_outcome,
-                 engine::write_event, exit_process>;
+    std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream, probe_upstream,
+                 cancel_attempt, acknowledge_heartbeat, send_reports, follow_operator_log,
+                 fetch_operator_records, discover_peers, record_departure, read_outcomes,
+                 record_outcome, engine::write_event, exit_process>;
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -241,3 +241,31 @@
   cr_assert_eq(count_accepted(80), 17); // 10 * 1.5 + 4 / 2
   cr_assert_eq(count_accepted(800), 2); // the previous process may have sent 17
 }
+
+Test(gate, a_death_of_the_upstream_is_logged_with_the_requests_that_it_interrupted) {
+  tested_daemon daemon;
+  const std::vector<gateway::action> started = daemon.run();
+  const gateway::send_to_upstream* sent = find<gateway::send_to_upstream>(started);
+  cr_assert_neq(sent, nullptr);
+  gateway::attempt_completed broken{sent->attempt, {}};
+  broken.is_broken = true;
+  cr_assert_neq(find<gateway::probe_upstream>(daemon.core.handle(broken, start)), nullptr);
+  const std::vector<gateway::action> actions =
+      daemon.core.handle(gateway::upstream_probed{gateway::probe_outcome::refused}, start);
+  const auto* line = find<arbutuslb::core::engine::write_event>(actions);
+  cr_assert_neq(line, nullptr);
+  cr_assert_eq(line->name, "upstream_died");
+  cr_assert_eq(line->fields.back().second.rfind("a-1:", 0), 0);
+  cr_assert_eq(daemon.core.totals().upstream_deaths, 1);
+}
+
+Test(gate, a_connection_that_breaks_while_the_upstream_lives_is_no_death) {
+  tested_daemon daemon;
+  const std::vector<gateway::action> started = daemon.run();
+  const gateway::send_to_upstream* sent = find<gateway::send_to_upstream>(started);
+  gateway::attempt_completed broken{sent->attempt, {}};
+  broken.is_broken = true;
+  daemon.core.handle(broken, start);
+  daemon.core.handle(gateway::upstream_probed{gateway::probe_outcome::reachable}, start);
+  cr_assert_eq(daemon.core.totals().upstream_deaths, 0);
+}
--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -40,6 +40,7 @@
   std::uint64_t repeats = 0; // retries after an attempt that may have reached an upstream
   std::uint64_t runs = 0;    // requests sent to the local upstream
   std::uint64_t runs_refused = 0;
+  std::uint64_t upstream_deaths = 0; // deaths of the local upstream that interrupted requests
   std::uint64_t reports_sent = 0;
   std::uint64_t reports_received = 0;
   std::uint64_t heartbeats_refused = 0;
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -87,6 +87,7 @@
       core.router_.on_attempt_completed(value);
     }
   }
+  void operator()(const upstream_probed& value) const { core.gate_.on_upstream_probed(value); }
   void operator()(const heartbeat_received& value) const { core.gate_.on_heartbeat(value); }
   void operator()(const deregistration_received& value) const {
     core.gate_.on_deregistration(value);
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -1,6 +1,7 @@
 #include "arbutuslb/core/gateway/upstream_gate.h"
 
 #include "arbutuslb/core/base/hash.h"
+#include "arbutuslb/core/gateway/request_fingerprint.h"
 
 #include <algorithm>
 
@@ -250,6 +251,9 @@
   if (end.is_silent) {
     record_silence(ended);
   }
+  if (end.is_broken) {
+    record_interruption(ended);
+  }
   if (end.result.notice) {
     record_notice(ended, *end.result.notice);
   }
@@ -300,6 +304,40 @@
   }
 }
 
+void upstream_gate::record_interruption(const execution& ended) {
+  interrupted_.push_back(ended);
+  if (!is_probing_) {
+    is_probing_ = true;
+    shared_.add_action(probe_upstream{});
+  }
+}
+
+void upstream_gate::on_upstream_probed(const upstream_probed& value) {
+  is_probing_ = false;
+  if (value.outcome == probe_outcome::refused) {
+    on_upstream_died();
+  }
+  interrupted_.clear();
+}
+
+void upstream_gate::on_upstream_died() {
+  ++shared_.totals.upstream_deaths;
+  std::string running;
+  for (const execution& item : interrupted_) {
+    running += running.empty() ? "" : ",";
+    running += item.request.content.attempt_id + ":" +
+               to_hexadecimal(fingerprint_of(item.request.content)) + ":" +
+               std::to_string(to_milliseconds(shared_.now - item.started));
+  }
+  shared_.write(engine::severity::warning, "upstream_died",
+                {{"instance", interrupted_.front().request.instance_id},
+                 {"cold", shared_.registry.is_cold(shared_.now) ? "true" : "false"},
+                 {"recent", std::to_string(queue_.recent_starts(shared_.now))},
+                 {"rate", std::to_string(queue_.rate())},
+                 {"interrupted", std::to_string(interrupted_.size())},
+                 {"requests", running}});
+}
+
 void upstream_gate::reply(const execution& ended, run_result result) {
   result.in_flight = queue_.in_flight();
   result.waiting = static_cast<int>(queue_.waiting());
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -39,6 +39,7 @@
   void on_attempt_written(const attempt_written& written);
   // Returns false if the attempt does not belong to the gate.
   bool on_attempt_completed(const attempt_completed& end);
+  void on_upstream_probed(const upstream_probed& value);
   void on_heartbeat(const heartbeat_received& value);
   void on_deregistration(const deregistration_received& value);
   void on_departure_recorded(const departure_recorded& value);
@@ -91,6 +92,9 @@
   void record_notice(const execution& ended, const upstream_notice& notice);
   // Takes note of a request that the upstream has not answered.
   void record_silence(const execution& ended);
+  // Takes note of a request whose connection broke, and finds out whether the upstream has died.
+  void record_interruption(const execution& ended);
+  void on_upstream_died();
   void update_limits();
   // Returns the rate limit that follows from the cold time of the upstream, in requests per second;
   // zero if there is none, because the upstream is not cold or its service is not configured.
@@ -110,6 +114,8 @@
   std::map<std::uint64_t, std::uint64_t> tokens_by_peer_;  // by the token of the peer's request
   std::map<std::uint64_t, std::uint64_t> tokens_by_local_; // by the local attempt
   std::vector<local_result> local_results_;
+  std::vector<execution> interrupted_; // requests whose connections broke, until the probe is over
+  bool is_probing_ = false;
   std::map<std::string, double> route_means_; // mean latency in microseconds, by route
   // The departure of the upstream that is being recorded.
   std::vector<std::uint64_t> departure_tokens_; // heartbeats and deregistrations to acknowledge
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -68,6 +68,14 @@
   void operator()(const gateway::send_to_upstream& action) const {
     fleet.run_at_upstream(index, action);
   }
+  void operator()(const gateway::probe_upstream&) const {
+    gateway_fleet& fleet_ref = fleet;
+    fleet_ref.after(upstream_delay, [&fleet_ref, target = index] {
+      fleet_ref.handle(target, gateway::upstream_probed{fleet_ref.upstream(target).is_down
+                                                            ? gateway::probe_outcome::refused
+                                                            : gateway::probe_outcome::reachable});
+    });
+  }
   void operator()(const gateway::cancel_attempt& action) const {
     fleet.cancelled_.insert({index, action.attempt});
     for (const auto& [execution, caller] : fleet.peer_attempts_) {
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -148,6 +148,7 @@
     void operator()(const gateway::send_to_upstream& action) const {
       host.send_to_upstream(action);
     }
+    void operator()(const gateway::probe_upstream&) const { host.probe_upstream(); }
     void operator()(const gateway::cancel_attempt& action) const { host.cancel(action.attempt); }
     void operator()(const gateway::acknowledge_heartbeat& action) const {
       host.upstreams.respond(action.token, action.is_accepted
@@ -263,6 +264,7 @@
       completed.result.reason = exchange.is_timeout ? "upstream sent no answer in time"
                                                     : "connection to the upstream broke";
       completed.is_silent = exchange.is_timeout;
+      completed.is_broken = !exchange.is_timeout;
       break;
     case http::exchange_outcome::answered:
       completed.result = platform::decode_answer(std::move(exchange.answer));
@@ -271,6 +273,16 @@
     return completed;
   }
 
+  void probe_upstream() {
+    upstream_client.connect(
+        settings.upstream, upstream_connect_timeout, [this](http::connect_outcome outcome) {
+          handle(gateway::upstream_probed{
+              outcome == http::connect_outcome::connected ? gateway::probe_outcome::reachable
+              : outcome == http::connect_outcome::refused ? gateway::probe_outcome::refused
+                                                          : gateway::probe_outcome::unknown});
+        });
+  }
+
   void cancel(std::uint64_t attempt) {
     const auto found = exchanges.find(attempt);
     if (found != exchanges.end()) {
--- a/src/arbutuslb/runtime/gateway_metrics.cc
+++ b/src/arbutuslb/runtime/gateway_metrics.cc
@@ -22,6 +22,7 @@
   write_counter(out, "repeats_total", totals.repeats);
   write_counter(out, "runs_total", totals.runs);
   write_counter(out, "runs_refused_total", totals.runs_refused);
+  write_counter(out, "upstream_deaths_total", totals.upstream_deaths);
   write_counter(out, "reports_sent_total", totals.reports_sent);
   write_counter(out, "reports_received_total", totals.reports_received);
   write_counter(out, "heartbeats_refused_total", totals.heartbeats_refused);
--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -62,6 +62,15 @@
     }
   }
 
+  void open(std::uint64_t exchange, core::duration timeout,
+            std::function<void(connect_outcome)> on_opened) {
+    exchange_ = exchange;
+    options_.connect_timeout = timeout;
+    on_opened_ = std::move(on_opened);
+    started_at_ = steady::now();
+    connect();
+  }
+
   core::duration idle_time() const {
     return std::chrono::duration_cast<core::duration>(steady::now() - idle_since_);
   }
@@ -108,11 +117,18 @@
         return;
       }
       if (result) {
+        self->is_refused_ = result == asio::error::connection_refused;
         self->fail();
         return;
       }
       self->is_connected_ = true;
-      self->write();
+      if (self->on_opened_ != nullptr) {
+        self->add_to_idle();
+        self->wait_for_bytes();
+        self->finish({});
+      } else {
+        self->write();
+      }
     });
   }
 
@@ -255,6 +271,12 @@
     if (const std::shared_ptr<state> owner = owner_.lock()) {
       owner->connections_by_exchange.erase(exchange_);
     }
+    if (on_opened_ != nullptr) {
+      const connect_outcome outcome = is_connected_ ? connect_outcome::connected
+                                      : is_refused_ ? connect_outcome::refused
+                                                    : connect_outcome::failed;
+      std::exchange(on_opened_, nullptr)(outcome);
+    }
     if (on_end_ != nullptr) {
       const completion_handler handler = std::exchange(on_end_, nullptr);
       handler(std::move(end));
@@ -268,11 +290,13 @@
   std::uint64_t exchange_ = 0;
   send_options options_;
   completion_handler on_end_;
+  std::function<void(connect_outcome)> on_opened_; // set while it is opened without a request
   std::string request_bytes_;
   steady::time_point started_at_{};
   steady::time_point idle_since_{};
   core::duration keep_alive_time_ = max_keep_alive_time;
   bool is_connected_ = false;
+  bool is_refused_ = false;
   bool has_sent_ = false;
   bool is_writing_ = false;
   bool is_waiting_ = false;
@@ -310,6 +334,15 @@
   return exchange;
 }
 
+void client::connect(const tcp::endpoint& address, core::duration timeout,
+                     std::function<void(connect_outcome)> on_end) {
+  const std::uint64_t exchange = ++state_->last_exchange;
+  const std::shared_ptr<connection> opened = std::make_shared<connection>(*state_, address);
+  ++state_->connections_opened;
+  state_->connections_by_exchange.emplace(exchange, opened);
+  opened->open(exchange, timeout, std::move(on_end));
+}
+
 void client::cancel(std::uint64_t exchange) {
   const auto found = state_->connections_by_exchange.find(exchange);
   if (found != state_->connections_by_exchange.end()) {
--- a/src/arbutuslb/runtime/http/client.h
+++ b/src/arbutuslb/runtime/http/client.h
@@ -33,6 +33,12 @@
   bool is_timeout = false;    // `broken` because of `answer_timeout`
 };
 
+enum class connect_outcome : std::uint8_t {
+  connected,
+  refused, // no process listens at the address
+  failed   // not connected in time, or for another reason
+};
+
 struct send_options {
   // Time limit for opening a connection.
   core::duration connect_timeout = std::chrono::milliseconds{300};
@@ -61,6 +67,10 @@
   // after `cancel`.
   std::uint64_t send(const asio::ip::tcp::endpoint& address, const core::http_request& request,
                      send_options options, completion_handler on_end);
+  // Opens a connection, which a later exchange may use. `on_end` is called once, never from within
+  // `connect`.
+  void connect(const asio::ip::tcp::endpoint& address, core::duration timeout,
+               std::function<void(connect_outcome)> on_end);
   // Closes the connection of the exchange.
   void cancel(std::uint64_t exchange);
   // Fails exchanges that exceeded a time limit and closes connections that were idle too long. Time
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -293,6 +293,26 @@
 }
 
 // An upstream may send a second answer to an earlier request where the next answer is expected.
+Test(client, a_connection_opened_without_a_request_is_used_by_the_next_one) {
+  server_fixture fixture;
+  client sender(fixture.loop);
+  std::vector<connect_outcome> ends;
+  const auto store_outcome = [&](connect_outcome end) { ends.push_back(end); };
+  sender.connect(server_fixture::free_address(), 1s, store_outcome);
+  fixture.run_until([&] { return ends.size() == 1; });
+  cr_assert(ends[0] == connect_outcome::refused);
+  sender.connect(fixture.address, 1s, store_outcome);
+  fixture.run_until([&] { return ends.size() == 2; });
+  cr_assert(ends[1] == connect_outcome::connected);
+  core::http_request request;
+  request.method = "GET";
+  request.target = "/1";
+  request.headers.emplace_back("Host", "x");
+  sender.send(fixture.address, request, {}, [](const exchange_result&) {});
+  fixture.run_until([&] { return fixture.requests.size() == 1; });
+  cr_assert_eq(sender.connections_opened(), 2);
+}
+
 Test(client, an_answer_that_belongs_to_another_request_is_dropped) {
   server_fixture fixture;
   tcp::acceptor acceptor(fixture.loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
