Failing test: a request that crashes its upstreams ends any number of them

The stand-in of the fleet learns requests that kill the upstream that executes them, deaths and restarts of upstreams as new instances, and lost reports.

--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -111,7 +111,8 @@
     const bool is_cross_domain =
         fleet_ref.nodes_[index].settings.domain != fleet_ref.nodes_[target].settings.domain;
     fleet_ref.datagrams_between_domains += is_cross_domain ? 1 : 0;
-    if (fleet_ref.is_cut(index, target) || fleet_ref.exited.contains(target)) {
+    if (fleet_ref.is_cut(index, target) || fleet_ref.exited.contains(target) ||
+        (fleet_ref.datagram_loss > 0 && fleet_ref.random_.fraction() < fleet_ref.datagram_loss)) {
       return;
     }
     gateway::reports_received received{fleet_ref.nodes_[index].settings.host, action.content};
@@ -200,6 +201,7 @@
   added.settings.cold_load_factor = cold_load_factor;
   added.settings.cold_load_extra = cold_load_extra;
   added.settings.upstream_address = added.settings.host + ":80";
+  added.upstream_started_ms = 1000 + static_cast<std::int64_t>(index);
   running_now.push_back(0);
   most_running.push_back(0);
   starts.emplace_back();
@@ -339,7 +341,10 @@
   const node& value = nodes_[index];
   gateway::heartbeat result;
   result.instance_id = "i-" + std::to_string(index);
-  result.started_ms = 1000 + static_cast<std::int64_t>(index);
+  if (value.upstream_generation > 0) {
+    result.instance_id += "-" + std::to_string(value.upstream_generation);
+  }
+  result.started_ms = value.upstream_started_ms;
   result.sequence = value.sequence;
   result.service = value.settings.service;
   result.version = value.upstream.version;
@@ -388,6 +393,7 @@
   }
   ++runs[action.request.content.attempt_id];
   run_versions[action.request.content.attempt_id] = upstream.version;
+  nodes_[index].executing.insert(attempt);
   most_running[index] = std::max(most_running[index], ++running_now[index]);
   starts[index].push_back(now_);
   completion.result.outcome =
@@ -398,12 +404,64 @@
       random_.fraction() < upstream.error_share ? status_error : status_ok;
   completion.result.answer.body = action.request.content.attempt_id;
   const std::uint64_t generation = nodes_[index].generation;
-  after(upstream.work, [this, index, completion, generation, attempt] {
+  const std::uint64_t upstream_generation = nodes_[index].upstream_generation;
+  after(upstream.work, [this, index, completion, generation, upstream_generation, attempt] {
+    if (nodes_[index].upstream_generation != upstream_generation) {
+      return;
+    }
     --running_now[index];
+    nodes_[index].executing.erase(attempt);
     if (nodes_[index].generation == generation && !cancelled_.contains({index, attempt})) {
       handle(index, completion);
     }
   });
+  const std::string target = action.request.content.message.target;
+  const std::map<std::string, duration>::const_iterator crash = crashing_targets.find(target);
+  if (crash != crashing_targets.end()) {
+    after(crash->second, [this, index, upstream_generation, target] {
+      if (nodes_[index].upstream_generation == upstream_generation) {
+        kill_upstream(index, target);
+      }
+    });
+  }
+}
+
+void gateway_fleet::kill_upstream(std::size_t index, const std::string& target) {
+  node& value = nodes_[index];
+  deaths.push_back({now_, index, target});
+  value.upstream.is_down = true;
+  ++value.upstream_generation;
+  running_now[index] = 0;
+  const std::uint64_t generation = value.generation;
+  for (const std::uint64_t attempt : std::exchange(value.executing, {})) {
+    after(upstream_delay, [this, index, generation, attempt] {
+      if (nodes_[index].generation != generation || cancelled_.contains({index, attempt})) {
+        return;
+      }
+      gateway::attempt_completed broken{attempt, {}};
+      broken.result.reached_upstream = true;
+      broken.result.reason = "connection to the upstream broke";
+      broken.is_broken = true;
+      handle(index, broken);
+    });
+  }
+  after(down_time, [this, index] { start_upstream(index); });
+}
+
+void gateway_fleet::start_upstream(std::size_t index) {
+  node& value = nodes_[index];
+  value.upstream.is_down = false;
+  value.upstream_started_ms = core::to_epoch_milliseconds(now_);
+  if (restart_cold_time > duration::zero()) {
+    value.upstream.cold_for = restart_cold_time;
+    const std::uint64_t upstream_generation = value.upstream_generation;
+    after(restart_cold_time, [this, index, upstream_generation] {
+      if (nodes_[index].upstream_generation == upstream_generation) {
+        nodes_[index].upstream.cold_for = {};
+      }
+    });
+  }
+  emit_heartbeat(index);
 }
 
 std::uint64_t gateway_fleet::call(std::size_t index, const std::string& host,
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -32,6 +32,13 @@
   core::gateway::upstream_notice notice; // in every answer
 };
 
+// A death of an upstream.
+struct upstream_death {
+  core::time_point at{};
+  std::size_t index = 0; // of its daemon
+  std::string target;    // of the request that caused it; empty if none did
+};
+
 class gateway_fleet {
 public:
   explicit gateway_fleet(std::uint64_t seed);
@@ -65,6 +72,9 @@
   void stop(std::size_t index);
   // Replaces the process by a new one with empty state.
   void restart(std::size_t index);
+  // The upstream dies: it breaks all its connections and refuses new ones. After `down_time` it
+  // starts again as a new instance, cold for `restart_cold_time`.
+  void kill_upstream(std::size_t index, const std::string& target = "");
 
   core::gateway::gateway_core& daemon(std::size_t index) { return *nodes_[index].core; }
   upstream_behaviour& upstream(std::size_t index) { return nodes_[index].upstream; }
@@ -81,6 +91,12 @@
   std::set<std::size_t> exited;
   std::map<std::string, core::gateway::rollout_phase> outcomes; // recorded in the store, by service
   std::set<std::pair<std::size_t, std::size_t>> cuts; // partitioned pairs, lower index first
+  // Requests that kill each upstream that executes them, by target: after this time.
+  std::map<std::string, core::duration> crashing_targets;
+  std::vector<upstream_death> deaths;
+  core::duration down_time = std::chrono::seconds{2};
+  core::duration restart_cold_time{};
+  double datagram_loss = 0; // fraction of the reports that are lost
   bool is_store_down = false;
   double cold_load_factor = 1.0; // for daemons that are added later
   double cold_load_extra = 0.0;  // for daemons that are added later
@@ -97,6 +113,9 @@
     bool follows_log = false;
     std::size_t log_position = 0; // number of records delivered to the process
     core::time_point next_heartbeat{};
+    std::uint64_t upstream_generation = 0; // incremented by each death of the upstream
+    std::int64_t upstream_started_ms = 0;  // since the Unix epoch
+    std::set<std::uint64_t> executing;     // attempts at the upstream
   };
   struct performer;
 
@@ -105,6 +124,7 @@
   std::size_t index_of(const std::string& host) const;
   bool is_cut(std::size_t one, std::size_t other) const;
   void run_at_upstream(std::size_t index, const core::gateway::send_to_upstream& action);
+  void start_upstream(std::size_t index);
   void start_core(std::size_t index);
   void emit_heartbeat(std::size_t index);
   void deliver_log(std::size_t index);
