The poison registry counts chains of deaths and merges in any order

Limits become a policy; the defaults are the former constants. A suspicion is a generation (how often it was cleared) and a number of deaths, so that reports, clearings and records can be merged in any order and any number of times. A death extends the chain that was known when the execution began: upstreams that die at the same moment give each of their requests one death, not several. When the registry is full, the suspects with the fewest deaths give way, and are counted.

--- a/src/arbutuslb/core/calls/poison_registry.h
+++ b/src/arbutuslb/core/calls/poison_registry.h
@@ -1,121 +1,190 @@
 // Registry of requests that are suspected of crashing upstreams, by fingerprint.
 //
-// A request that was in execution when its upstream died is a suspect. An upstream executes at most
-// one suspect at a time, so that a second death identifies the request that caused it; that request
-// is then refused for some time. An answer from the upstream clears a suspect.
+// A request that was in execution when its upstream died is a suspect. If it is executed again and
+// the upstream dies again, the evidence grows: its deaths form a chain, in which each execution
+// began when the deaths before it were known. Suspects with enough deaths are executed one at a
+// time on an upstream, so that a further death identifies the one that caused it; after some deaths
+// the request is refused for a time. An answer of an upstream clears a suspect.
 //
-//   registry.on_death(running_fingerprints, now);
+//   registry.on_death(interrupted, now);
 //   if (registry.is_refused(fingerprint, now)) { ... }
 #pragma once
 
 #include "arbutuslb/core/base/time.h"
 
 #include <algorithm>
+#include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 namespace arbutuslb::core::calls {
 
-inline constexpr std::uint32_t deaths_before_refusal = 2;
-// Duration of the first refusal. Each further death doubles it, at most four times.
-inline constexpr std::chrono::minutes base_refusal_time{5};
-// Time since the last death after which a request is no longer a suspect.
-inline constexpr std::chrono::minutes suspicion_retention{10};
-inline constexpr std::size_t max_suspects = 4096;
+// Defaults: those of a daemon that cannot tell a chain of deaths from deaths at the same time.
+struct poison_policy {
+  std::uint32_t deaths_before_isolation = 1; // executed one at a time from then on
+  std::uint32_t deaths_before_refusal = 2;
+  // Duration of the first refusal. Each further death doubles it, at most four times.
+  duration base_refusal_time = std::chrono::minutes{5};
+  // Time since the last death after which a request is no longer a suspect.
+  duration suspicion_retention = std::chrono::minutes{10};
+  std::size_t max_suspects = 4096;
+};
+
+// What is known of one request. Of two suspicions of a request, the one with the higher generation
+// counts, or of equal ones that with more deaths: they can be merged in any order.
+struct suspicion {
+  std::uint64_t fingerprint = 0; // zero: none
+  std::uint32_t generation = 0;  // number of times that it was cleared
+  std::uint32_t deaths = 0;
+  time_point last_death{}; // or when it was cleared
+  friend bool operator==(const suspicion&, const suspicion&) = default;
+};
 
 // Not thread-safe.
 class poison_registry {
 public:
-  // Records that the upstream died while it executed these requests. Returns the fingerprints to
-  // which the death was attributed: the suspects among them, or all of them if none was a suspect.
-  std::vector<std::uint64_t> on_death(const std::vector<std::uint64_t>& running, time_point now) {
-    std::vector<std::uint64_t> attributed;
-    for (const std::uint64_t fingerprint : running) {
-      if (is_suspect(fingerprint, now)) {
-        attributed.push_back(fingerprint);
+  explicit poison_registry(const poison_policy& policy = {}) : policy_(policy) {}
+
+  // Records that the upstream died while it executed these requests, given as they were known when
+  // their executions began. Returns the new suspicions: of the isolated suspects among them, or of
+  // all if none was isolated.
+  std::vector<suspicion> on_death(const std::vector<suspicion>& running, time_point now) {
+    const auto is_isolated = [this](const suspicion& item) {
+      return item.deaths >= policy_.deaths_before_isolation;
+    };
+    const bool has_isolated = std::any_of(running.begin(), running.end(), is_isolated);
+    std::vector<suspicion> attributed;
+    for (const suspicion& item : running) {
+      if (has_isolated && !is_isolated(item)) {
+        continue;
+      }
+      const suspicion known = find(item.fingerprint, now);
+      suspicion updated{item.fingerprint, known.generation, 1, now};
+      if (item.generation == known.generation) {
+        updated.deaths = item.deaths + 1;
+      } // otherwise it was cleared meanwhile
+      if (merge(updated, now)) {
+        attributed.push_back(updated);
       }
-    }
-    if (attributed.empty()) {
-      attributed = running;
-    }
-    for (const std::uint64_t fingerprint : attributed) {
-      record_deaths(fingerprint, deaths_of(fingerprint) + 1, now);
     }
     return attributed;
   }
 
-  // Applies the number of deaths that a peer reported; 0 clears the suspect. Returns true if this
-  // changed the registry.
-  bool merge(std::uint64_t fingerprint, std::uint32_t deaths, time_point now) {
-    if (deaths == 0) {
-      return clear(fingerprint);
+  // Takes over what is known elsewhere. Returns true if this changed the registry.
+  bool merge(const suspicion& value, time_point now) {
+    const auto rank = [](const suspicion& item) {
+      return std::tuple(item.generation, item.deaths);
+    };
+    const std::unordered_map<std::uint64_t, suspicion>::iterator found =
+        entries_.find(value.fingerprint);
+    if (is_expired(value, now)) {
+      return false;
+    }
+    if (found != entries_.end()) {
+      if (!is_expired(found->second, now) && rank(value) <= rank(found->second)) {
+        return false;
+      }
+      found->second = value;
+      return true;
+    }
+    if (entries_.size() >= policy_.max_suspects) {
+      evict(now);
     }
-    if (deaths <= deaths_of(fingerprint)) {
+    if (entries_.size() >= policy_.max_suspects && !replace_weakest(value)) {
+      ++dropped_;
       return false;
     }
-    record_deaths(fingerprint, deaths, now);
+    entries_.emplace(value.fingerprint, value);
     return true;
   }
 
-  // Clears the suspicion after an answer. Returns true if there was an entry for the request.
-  bool clear(std::uint64_t fingerprint) { return entries_.erase(fingerprint) > 0; }
+  // Clears the suspicion after an answer. Returns true if the request was a suspect.
+  bool clear(std::uint64_t fingerprint, time_point now) {
+    const std::unordered_map<std::uint64_t, suspicion>::iterator found = entries_.find(fingerprint);
+    if (found == entries_.end() || found->second.deaths == 0) {
+      return false;
+    }
+    found->second.deaths = 0;
+    ++found->second.generation;
+    found->second.last_death = now;
+    return true;
+  }
 
-  bool is_suspect(std::uint64_t fingerprint, time_point now) const {
-    const std::unordered_map<std::uint64_t, entry>::const_iterator found =
+  // Returns what is known of the request; no deaths if nothing is.
+  suspicion find(std::uint64_t fingerprint, time_point now) const {
+    const std::unordered_map<std::uint64_t, suspicion>::const_iterator found =
         entries_.find(fingerprint);
-    return found != entries_.end() && now - found->second.last_death < suspicion_retention;
+    return found == entries_.end() || is_expired(found->second, now) ? suspicion{fingerprint}
+                                                                     : found->second;
+  }
+
+  bool is_suspect(std::uint64_t fingerprint, time_point now) const {
+    return find(fingerprint, now).deaths > 0;
   }
 
   bool is_refused(std::uint64_t fingerprint, time_point now) const {
-    const std::unordered_map<std::uint64_t, entry>::const_iterator found =
+    const std::unordered_map<std::uint64_t, suspicion>::const_iterator found =
         entries_.find(fingerprint);
-    return found != entries_.end() && now < found->second.refused_until;
+    return found != entries_.end() && now < refused_until(found->second);
   }
 
   std::uint32_t deaths_of(std::uint64_t fingerprint) const {
-    const std::unordered_map<std::uint64_t, entry>::const_iterator found =
+    const std::unordered_map<std::uint64_t, suspicion>::const_iterator found =
         entries_.find(fingerprint);
     return found == entries_.end() ? 0 : found->second.deaths;
   }
 
   // Returns the number of requests that were found to crash upstreams.
   std::size_t confirmed_count() const {
-    const auto is_confirmed = [](const auto& item) {
-      return item.second.deaths >= deaths_before_refusal;
+    const auto is_confirmed = [this](const auto& item) {
+      return item.second.deaths >= policy_.deaths_before_refusal;
     };
     return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), is_confirmed));
   }
 
   // Removes requests that are neither suspects nor refused any more.
   void evict(time_point now) {
-    const auto is_expired = [now](const auto& item) {
-      return now - item.second.last_death >= suspicion_retention &&
-             now >= item.second.refused_until;
-    };
-    std::erase_if(entries_, is_expired);
+    std::erase_if(entries_, [&](const auto& item) { return is_expired(item.second, now); });
   }
 
+  bool empty() const noexcept { return entries_.empty(); }
+  const std::unordered_map<std::uint64_t, suspicion>& entries() const noexcept { return entries_; }
+  // Returns the number of suspicions that were given up because there were too many.
+  std::uint64_t dropped() const noexcept { return dropped_; }
+
 private:
-  struct entry {
-    std::uint32_t deaths = 0;
-    time_point last_death;
-    time_point refused_until{};
-  };
-
-  void record_deaths(std::uint64_t fingerprint, std::uint32_t deaths, time_point now) {
-    if (entries_.size() >= max_suspects && !entries_.contains(fingerprint)) {
-      return;
+  time_point refused_until(const suspicion& item) const {
+    if (item.deaths < policy_.deaths_before_refusal) {
+      return {};
     }
-    entry& recorded = entries_[fingerprint];
-    recorded.deaths = deaths;
-    recorded.last_death = now;
-    if (deaths >= deaths_before_refusal) {
-      const std::uint32_t doublings = std::min(deaths - deaths_before_refusal, 4U);
-      recorded.refused_until = now + base_refusal_time * (1U << doublings);
+    const std::uint32_t doublings = std::min(item.deaths - policy_.deaths_before_refusal, 4U);
+    return item.last_death + policy_.base_refusal_time * (1U << doublings);
+  }
+
+  bool is_expired(const suspicion& item, time_point now) const {
+    return now - item.last_death >= policy_.suspicion_retention && now >= refused_until(item);
+  }
+
+  // Removes the entry with the fewest deaths, of these the oldest, if `value` has more or as many.
+  bool replace_weakest(const suspicion& value) {
+    const auto is_weaker = [](const auto& left, const auto& right) {
+      return std::tuple(left.second.deaths, left.second.last_death) <
+             std::tuple(right.second.deaths, right.second.last_death);
+    };
+    const std::unordered_map<std::uint64_t, suspicion>::iterator weakest =
+        std::min_element(entries_.begin(), entries_.end(), is_weaker);
+    if (weakest == entries_.end() || weakest->second.deaths > value.deaths) {
+      return false;
     }
+    entries_.erase(weakest);
+    ++dropped_;
+    return true;
   }
 
-  std::unordered_map<std::uint64_t, entry> entries_;
+  poison_policy policy_;
+  std::unordered_map<std::uint64_t, suspicion> entries_; // by fingerprint
+  std::uint64_t dropped_ = 0;
 };
 
 } // namespace arbutuslb::core::calls
--- a/src/arbutuslb/core/engine/call_router.cc
+++ b/src/arbutuslb/core/engine/call_router.cc
@@ -378,7 +378,11 @@
   if (reply.load.limit > 0) {
     stats.on_load(reply.load.limit, reply.load.in_flight, shared_.now);
   }
-  if (reply.upstream_died && poison_.merge(call.fingerprint, 1, shared_.now)) {
+  if (reply.upstream_died && !poison_.is_suspect(call.fingerprint, shared_.now)) {
+    calls::suspicion suspect = poison_.find(call.fingerprint, shared_.now);
+    suspect.deaths = 1;
+    suspect.last_death = shared_.now;
+    poison_.merge(suspect, shared_.now);
     shared_.write(severity::warning, "request_suspected", {{"route", call.route}});
   }
   switch (reply.outcome) {
--- a/src/arbutuslb/core/engine/daemon_core.cc
+++ b/src/arbutuslb/core/engine/daemon_core.cc
@@ -53,7 +53,14 @@
     core.operators_.on_explain_reply(value);
   }
   void operator()(const protocol::poison_report& value) const {
-    if (!core.poison_.merge(value.fingerprint, value.deaths, core.shared_.now)) {
+    // The message has no generation: it counts in that of this daemon.
+    const time_point now = core.shared_.now;
+    const std::uint32_t generation = core.poison_.find(value.fingerprint, now).generation;
+    const bool is_news =
+        value.deaths == 0
+            ? core.poison_.clear(value.fingerprint, now)
+            : core.poison_.merge({value.fingerprint, generation, value.deaths, now}, now);
+    if (!is_news) {
       return;
     }
     for (const member_id id : core.shared_.random_domain_peers(push_fanout)) {
--- a/src/arbutuslb/core/engine/upstream_gate.cc
+++ b/src/arbutuslb/core/engine/upstream_gate.cc
@@ -192,7 +192,7 @@
   finished_executions_.push_back(
       {request.route, is_error ? moves::execution_outcome::error : moves::execution_outcome::good,
        latency});
-  if (poison_.clear(request.fingerprint)) {
+  if (poison_.clear(request.fingerprint, shared_.now)) {
     send_poison_report(request.fingerprint, 0);
   }
   finish(result.execution, call_reply{{}, call_outcome::answered, false, {}, result.answer, {}});
@@ -237,18 +237,18 @@
   ++shared_.totals.upstream_deaths;
   upstream_down_until_ = shared_.now + upstream_retry_delay;
   make_cold();
-  std::vector<std::uint64_t> running;
+  std::vector<calls::suspicion> running;
   std::string route;
   for (auto& [number, item] : executions_) {
     if (item.is_running && !item.is_death_counted) {
       item.is_death_counted = true;
-      running.push_back(item.request.fingerprint);
+      running.push_back(poison_.find(item.request.fingerprint, shared_.now));
       route = item.request.route;
     }
   }
   finished_executions_.push_back({route, moves::execution_outcome::death, duration{}});
-  for (const std::uint64_t fingerprint : poison_.on_death(running, shared_.now)) {
-    send_poison_report(fingerprint, poison_.deaths_of(fingerprint));
+  for (const calls::suspicion& suspect : poison_.on_death(running, shared_.now)) {
+    send_poison_report(suspect.fingerprint, suspect.deaths);
   }
   shared_.write(severity::warning, "upstream_died", {{"running", std::to_string(running.size())}});
 }
