--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -405,6 +405,16 @@
   completion.result.answer.body = action.request.content.attempt_id;
   const std::uint64_t generation = nodes_[index].generation;
   const std::uint64_t upstream_generation = nodes_[index].upstream_generation;
+  const std::string target = action.request.content.message.target;
+  const std::map<std::string, duration>::const_iterator crash = crashing_targets.find(target);
+  if (crash != crashing_targets.end()) {
+    after(crash->second, [this, index, upstream_generation, target] {
+      if (nodes_[index].upstream_generation == upstream_generation) {
+        kill_upstream(index, target);
+      }
+    });
+    return;
+  }
   after(upstream.work, [this, index, completion, generation, upstream_generation, attempt] {
     if (nodes_[index].upstream_generation != upstream_generation) {
       return;
@@ -415,15 +425,6 @@
       handle(index, completion);
     }
   });
-  const std::string target = action.request.content.message.target;
-  const std::map<std::string, duration>::const_iterator crash = crashing_targets.find(target);
-  if (crash != crashing_targets.end()) {
-    after(crash->second, [this, index, upstream_generation, target] {
-      if (nodes_[index].upstream_generation == upstream_generation) {
-        kill_upstream(index, target);
-      }
-    });
-  }
 }
 
 void gateway_fleet::kill_upstream(std::size_t index, const std::string& target) {
