The data path contains requests that crash their upstreams

On the data path nothing remembered what an upstream executed when it died; each attempt of the caller cost two upstreams, one through the daemon's own retry, and the caller's next attempt has another id.

An answer clears. What is known travels with requests and their results, on reports, and as one record a daemon in the store, which a process that starts reads. A death counts only after the upstream refused a connection, and not while it leaves. The body is hashed only for requests interrupted by a death, cancelled runs of a dead upstream, and those to the target of a suspect.

--- a/src/arbutuslb/core/gateway/bundle_planner.cc
+++ b/src/arbutuslb/core/gateway/bundle_planner.cc
@@ -17,7 +17,8 @@
          before.is_usable != after.is_usable || before.is_stopping != after.is_stopping ||
          before.limit != after.limit || (before.rate_limit > 0) != (after.rate_limit > 0) ||
          before.operator_log_end != after.operator_log_end || before.rollouts != after.rollouts ||
-         before.is_store_reachable != after.is_store_reachable;
+         before.is_store_reachable != after.is_store_reachable ||
+         before.suspicions != after.suspicions;
 }
 
 bool has_changed_load(const peer_report& before, const peer_report& after) {
--- a/src/arbutuslb/core/gateway/calls.h
+++ b/src/arbutuslb/core/gateway/calls.h
@@ -3,6 +3,7 @@
 
 #include "arbutuslb/core/base/http_message.h"
 #include "arbutuslb/core/base/time.h"
+#include "arbutuslb/core/calls/poison_registry.h"
 
 #include <cstdint>
 #include <optional>
@@ -33,6 +34,8 @@
   bool is_retry = false;           // an earlier attempt may have reached an upstream
   // Limit that the upstream stated in the newest answer that the sender has received from it.
   std::optional<double> stated_rate_limit;
+  // What the sender knows of the request; without a fingerprint if it is no suspect.
+  calls::suspicion suspicion;
 };
 
 enum class run_outcome : std::uint8_t {
@@ -59,6 +62,8 @@
   int waiting = 0;        // requests queued for the upstream
   // Set if the upstream has answered or refused the request.
   std::optional<upstream_notice> notice;
+  // What the gate knows of the request; without a fingerprint if it is no suspect.
+  calls::suspicion suspicion;
 };
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -87,7 +87,8 @@
   std::vector<std::string> hosts;
   // The local upstream that departed last, as recorded by this daemon; empty if none is recorded.
   std::optional<upstream_incarnation> departed;
-  std::uint64_t era = 0; // of the store when it was read
+  std::uint64_t era = 0;                    // of the store when it was read
+  std::vector<calls::suspicion> suspicions; // recorded by all daemons
 };
 // Completes `record_departure`.
 struct departure_recorded {
@@ -95,6 +96,11 @@
   bool is_recorded = false;
   std::uint64_t era = 0; // of the store when it accepted the record
 };
+// Completes `record_suspicions`.
+struct suspicions_recorded {
+  bool is_recorded = false;
+  std::uint64_t era = 0; // of the store when it accepted the record
+};
 // The outcomes of rollouts that are recorded in the store.
 struct outcomes_read {
   struct outcome {
@@ -115,11 +121,12 @@
 };
 struct stop_requested {};
 
-using event = std::variant<tick, call_received, caller_disconnected, run_requested,
-                           peer_disconnected, attempt_written, attempt_completed, upstream_probed,
-                           heartbeat_received, deregistration_received, operator_records_received,
-                           reports_received, store_reachability_changed, peers_discovered,
-                           departure_recorded, outcomes_read, outcome_recorded, stop_requested>;
+using event =
+    std::variant<tick, call_received, caller_disconnected, run_requested, peer_disconnected,
+                 attempt_written, attempt_completed, upstream_probed, heartbeat_received,
+                 deregistration_received, operator_records_received, reports_received,
+                 store_reachability_changed, peers_discovered, departure_recorded,
+                 suspicions_recorded, outcomes_read, outcome_recorded, stop_requested>;
 
 // --- actions ---
 
@@ -177,6 +184,11 @@
 struct record_departure {
   upstream_incarnation departed;
 };
+// Records durably which requests this daemon's upstream was executing when it died. Replaces its
+// earlier record. Answered by one `suspicions_recorded`.
+struct record_suspicions {
+  std::vector<calls::suspicion> suspicions;
+};
 // Reads the outcomes of rollouts from the store. Answered by one `outcomes_read`.
 struct read_outcomes {};
 // Records the outcome of a rollout, if the outcomes' log still ends at the offset of
@@ -192,7 +204,7 @@
 using action =
     std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream, probe_upstream,
                  cancel_attempt, acknowledge_heartbeat, send_reports, follow_operator_log,
-                 fetch_operator_records, discover_peers, record_departure, read_outcomes,
-                 record_outcome, engine::write_event, exit_process>;
+                 fetch_operator_records, discover_peers, record_departure, record_suspicions,
+                 read_outcomes, record_outcome, engine::write_event, exit_process>;
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -2,6 +2,7 @@
 // time, and the actions of the current event.
 #pragma once
 
+#include "arbutuslb/core/gateway/crash_containment.h"
 #include "arbutuslb/core/gateway/events.h"
 #include "arbutuslb/core/gateway/peer_directory.h"
 
@@ -41,6 +42,10 @@
   std::uint64_t runs = 0;    // requests sent to the local upstream
   std::uint64_t runs_refused = 0;
   std::uint64_t upstream_deaths = 0; // deaths of the local upstream that interrupted requests
+  std::uint64_t suspicions = 0;      // raised by them
+  std::uint64_t suspicions_cleared = 0;
+  std::uint64_t isolated_runs = 0; // executions of isolated suspects
+  std::uint64_t poison_refusals = 0;
   std::uint64_t reports_sent = 0;
   std::uint64_t reports_received = 0;
   std::uint64_t heartbeats_refused = 0;
@@ -65,6 +70,7 @@
   operator_state operator_records;
   peer_directory directory;
   upstream_registry registry;
+  crash_containment containment;
   random_source random;
   const time_point started; // start of this process
   time_point now;           // time of the current event
@@ -75,6 +81,7 @@
   // all.
   bool is_local_report_due = false;
   bool is_report_due = false;
+  bool is_suspicion_record_due = false; // suspicions are to be recorded in the store
   gateway_statistics totals;
   std::vector<action> actions;
 };
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -1,5 +1,7 @@
 #include "arbutuslb/core/gateway/gateway_core.h"
 
+#include "arbutuslb/core/base/hash.h"
+
 #include <algorithm>
 
 namespace arbutuslb::core::gateway {
@@ -47,6 +49,9 @@
 // Delay before a daemon fetches from a peer in another domain.
 constexpr std::chrono::milliseconds remote_fetch_delay{600};
 constexpr std::chrono::milliseconds fetch_interval{300};
+// A record of suspicions that the store has not accepted is submitted again after this time.
+constexpr std::chrono::seconds suspicion_retry_delay{1};
+constexpr std::chrono::minutes suspicion_eviction_period{1};
 // Callers notice the stop within two readiness checks; open connections are served for that time.
 constexpr std::chrono::milliseconds min_stopping_time{2300};
 // The daemon exits at the latest this long before the end of the grace period.
@@ -104,6 +109,7 @@
   void operator()(const departure_recorded& value) const {
     core.gate_.on_departure_recorded(value);
   }
+  void operator()(const suspicions_recorded& value) const { core.on_suspicions_recorded(value); }
   void operator()(const outcomes_read& value) const { core.rollouts_.on_outcomes(value); }
   void operator()(const outcome_recorded& value) const { core.rollouts_.on_recorded(value); }
   void operator()(const stop_requested&) const { core.begin_stopping(); }
@@ -174,6 +180,7 @@
   update_reader_role();
   fetch_missing_records();
   start_peer_discovery();
+  record_suspicions();
   shared_.directory.remove_expired(shared_.now);
   if (shared_.is_stopping) {
     finish_stopping();
@@ -303,6 +310,7 @@
   report.rollouts = rollouts_.progress();
   report.is_store_reachable = is_store_reachable_;
   report.capacity_weight = shared_.settings.capacity_weight;
+  report.suspicions = shared_.containment.to_report(shared_.now);
   return report;
 }
 
@@ -457,6 +465,7 @@
                    {"rate_limit", std::to_string(static_cast<int>(report.rate_limit))},
                    {"age_ms", std::to_string(to_milliseconds(aged.age))}});
   }
+  merge_suspicions(report.suspicions, report.name);
   rollouts_.on_report(report);
   if (report.reply_requested) {
     send_report(report.host, false);
@@ -471,6 +480,7 @@
                   {{"instance", found.departed->instance_id},
                    {"started_ms", std::to_string(found.departed->started_ms)}});
   }
+  merge_suspicions(found.suspicions, "store");
   for (const std::string& host : found.hosts) {
     if (host == shared_.settings.host || contacts_.contains(host)) {
       continue;
@@ -491,6 +501,48 @@
   shared_.add_action(discover_peers{shared_.operator_records.end().era});
 }
 
+// --- requests that crash their upstreams ---
+
+void gateway_core::merge_suspicions(const std::vector<calls::suspicion>& suspicions,
+                                    const std::string& source) {
+  for (const calls::suspicion& value : suspicions) {
+    const bool is_news = shared_.containment.merge(value, shared_.now);
+    if (is_news && shared_.containment.judge(value) != crash_verdict::run) {
+      shared_.write(engine::severity::info, "suspicion_received",
+                    {{"fingerprint", to_hexadecimal(value.fingerprint)},
+                     {"deaths", std::to_string(value.deaths)},
+                     {"generation", std::to_string(value.generation)},
+                     {"from", source}});
+    }
+  }
+}
+
+void gateway_core::record_suspicions() {
+  if (shared_.now >= next_eviction_) {
+    next_eviction_ = shared_.now + suspicion_eviction_period;
+    shared_.containment.evict(shared_.now);
+  }
+  const bool is_lost = suspicion_era_ && *suspicion_era_ < shared_.operator_records.end().era;
+  if ((!shared_.is_suspicion_record_due && !is_lost) || is_recording_suspicions_ ||
+      shared_.now < next_suspicion_record_) {
+    return;
+  }
+  shared_.is_suspicion_record_due = false;
+  is_recording_suspicions_ = true;
+  next_suspicion_record_ = shared_.now + suspicion_retry_delay;
+  shared_.add_action(gateway::record_suspicions{shared_.containment.to_record(shared_.now)});
+}
+
+void gateway_core::on_suspicions_recorded(const suspicions_recorded& value) {
+  is_recording_suspicions_ = false;
+  if (value.is_recorded) {
+    suspicion_era_ = value.era;
+    next_suspicion_record_ = shared_.now;
+  } else {
+    shared_.is_suspicion_record_due = true;
+  }
+}
+
 // --- stopping ---
 
 void gateway_core::begin_stopping() {
--- a/src/arbutuslb/core/gateway/gateway_core.h
+++ b/src/arbutuslb/core/gateway/gateway_core.h
@@ -31,6 +31,7 @@
   bool is_ready() const;
   const gateway_statistics& totals() const noexcept { return shared_.totals; }
   const operator_state& operator_records() const noexcept { return shared_.operator_records; }
+  const crash_containment& containment() const noexcept { return shared_.containment; }
   const peer_directory& directory() const noexcept { return shared_.directory; }
 
 private:
@@ -72,6 +73,10 @@
   void update_reader_role();
   void fetch_missing_records();
   void start_peer_discovery();
+  void merge_suspicions(const std::vector<calls::suspicion>& suspicions, const std::string& source);
+  // Records suspicions in the store when they have changed, or when the store has lost the record.
+  void record_suspicions();
+  void on_suspicions_recorded(const suspicions_recorded& value);
 
   gateway_context shared_;
   rollout_conductor rollouts_;
@@ -91,6 +96,10 @@
   time_point behind_since_{}; // a peer has newer operator records since; zero if none has
   time_point next_fetch_{};
   time_point directory_updated_at_{};
+  bool is_recording_suspicions_ = false;
+  std::optional<std::uint64_t> suspicion_era_; // era of the store that has the record
+  time_point next_suspicion_record_{};
+  time_point next_eviction_{};
   time_point stopping_since_{};
   bool has_exited_ = false;
   bool was_usable_ = false;
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -269,9 +269,30 @@
          query.rank < candidate.refused_rank;
 }
 
+std::optional<std::string>
+peer_directory::choose_by_key(const upstream_query& query,
+                              const std::set<std::string>& excluded_domains, time_point now) const {
+  const host_entry* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const host_entry* item : view_of(query.service).members) {
+    if (!is_live(item->second, now) || !is_eligible(*item, query, excluded_domains, now)) {
+      continue;
+    }
+    const std::uint64_t weight = rendezvous_weight(*query.affinity_key, item->second.hash);
+    if (best == nullptr || weight > best_weight) {
+      best = item;
+      best_weight = weight;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional<std::string>(best->first);
+}
+
 std::optional<std::string> peer_directory::choose(const upstream_query& query,
                                                   const std::set<std::string>& excluded_domains,
                                                   time_point now, random_source& random) {
+  if (query.affinity_key) {
+    return choose_by_key(query, excluded_domains, now);
+  }
   const service_view& view = summary_of(query.service, now);
   std::vector<const host_entry*> local;
   std::vector<const host_entry*> remote;
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -45,6 +45,8 @@
   bool allows_stale = true;           // false excludes peers without recent contact
   // True includes peers that recently refused a request of the same or a higher priority.
   bool allows_refused = false;
+  // If set, every daemon selects the same of the eligible upstreams for this key.
+  std::optional<std::uint64_t> affinity_key;
 };
 
 class peer_directory {
@@ -151,6 +153,10 @@
   std::pair<std::size_t, std::size_t> ring_position() const;
   bool is_eligible(const host_entry& item, const upstream_query& query,
                    const std::set<std::string>& excluded_domains, time_point now) const;
+  // Returns the eligible live upstream that is assigned the key by rendezvous hashing.
+  std::optional<std::string> choose_by_key(const upstream_query& query,
+                                           const std::set<std::string>& excluded_domains,
+                                           time_point now) const;
   // Returns true if the peer's upstream has told this daemon that it leaves.
   bool is_leaving(const host_entry& item) const;
   // `typical` is the latency assumed for an upstream that has not measured the route.
--- a/src/arbutuslb/core/gateway/peer_report.h
+++ b/src/arbutuslb/core/gateway/peer_report.h
@@ -6,6 +6,7 @@
 
 #include "arbutuslb/core/base/ids.h"
 #include "arbutuslb/core/base/time.h"
+#include "arbutuslb/core/calls/poison_registry.h"
 #include "arbutuslb/core/gateway/log_position.h"
 #include "arbutuslb/core/protocol/messages.h"
 
@@ -58,6 +59,7 @@
   int capacity_weight = 0;        // capacity relative to the weakest instance; used to assign roles
   std::vector<rollout_progress> rollouts;
   std::vector<protocol::evidence_report> evidence;
+  std::vector<calls::suspicion> suspicions; // that the sender knows (crash_containment.h)
 };
 
 // A report, and the time since the sending daemon received it; zero if it describes that daemon
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -74,6 +74,11 @@
       static_cast<double>(std::max<std::size_t>(1, shared_.directory.live_count(shared_.now)));
   budgets_.try_emplace(incoming.service, std::max(1.0, local_extra))
       .first->second.on_call(local_budget_fraction * shared_.settings.retry_ratio);
+  incoming.suspicion = shared_.containment.find(incoming.content, shared_.now);
+  if (shared_.containment.judge(incoming.suspicion) == crash_verdict::refuse) {
+    refuse_suspect(incoming);
+    return;
+  }
   dispatch(std::move(incoming));
 }
 
@@ -92,9 +97,24 @@
   query.allows_version = [this, &pending](const std::string& version) {
     return rollouts_.allows(pending.service, version, pending.uses_new_version);
   };
+  if (shared_.containment.judge(pending.suspicion) == crash_verdict::isolate) {
+    query.affinity_key = pending.suspicion.fingerprint;
+  }
   return query;
 }
 
+void request_router::refuse_suspect(const pending_call& pending) {
+  ++shared_.totals.refused;
+  ++shared_.totals.poison_refusals;
+  shared_.write(
+      engine::severity::warning, "poison_request_refused",
+      {{"id", pending.content.attempt_id},
+       {"fingerprint", to_hexadecimal(pending.suspicion.fingerprint)},
+       {"deaths", std::to_string(pending.suspicion.deaths)},
+       {"since_ms", std::to_string(to_milliseconds(shared_.now - pending.suspicion.last_death))}});
+  finish_with_status(pending, status_unavailable, poison_reason, poison_retry_after);
+}
+
 std::optional<std::string> request_router::choose_host(pending_call& pending) {
   const upstream_query query = query_for(pending);
   std::optional<std::string> host = shared_.directory.choose(
@@ -155,6 +175,9 @@
   request.target_time_left = pending.received_at + pending.route->target_latency - shared_.now;
   request.rollout_share_permille = pending.rollout_share_permille;
   request.is_retry = pending.upstreams_reached > 0;
+  if (pending.suspicion.deaths > 0) {
+    request.suspicion = pending.suspicion;
+  }
   request.stated_rate_limit = shared_.directory.stated_rate_limit(host);
   const std::uint64_t attempt = pending.attempt;
   attempts_by_token_[pending.token] = attempt;
@@ -191,6 +214,10 @@
   if (end.result.notice) {
     shared_.directory.on_notice(pending.host, pending.upstream, *end.result.notice);
   }
+  if (end.result.suspicion.fingerprint != 0) {
+    shared_.containment.merge(end.result.suspicion, shared_.now);
+    pending.suspicion = shared_.containment.find(end.result.suspicion.fingerprint, shared_.now);
+  }
   pending.last_result = end.result;
   if (end.result.reached_upstream) {
     ++pending.upstreams_reached;
@@ -243,6 +270,12 @@
   if (pending.last_result.outcome != run_outcome::not_executed && !pending.route->is_idempotent) {
     return false;
   }
+  // The next execution of an isolated suspect is left to its caller, unless this one has not begun.
+  const crash_verdict verdict = shared_.containment.judge(pending.suspicion);
+  if (verdict == crash_verdict::refuse ||
+      (verdict == crash_verdict::isolate && pending.last_result.outcome == run_outcome::unknown)) {
+    return false;
+  }
   if (pending.may_have_executed && !pending.route->is_idempotent) {
     return false;
   }
@@ -279,7 +312,13 @@
     shared_.add_action(answer_caller{pending.token, *pending.failed_answer});
     return;
   }
-  if (pending.last_result.outcome == run_outcome::not_executed && !pending.may_have_executed) {
+  const bool was_not_executed =
+      pending.last_result.outcome == run_outcome::not_executed && !pending.may_have_executed;
+  if (was_not_executed && shared_.containment.judge(pending.suspicion) == crash_verdict::refuse) {
+    refuse_suspect(pending);
+    return;
+  }
+  if (was_not_executed) {
     ++shared_.totals.refused;
     finish_with_status(pending, status_unavailable, pending.last_result.reason,
                        retry_after_of(pending));
@@ -371,6 +410,7 @@
 
 bool request_router::is_overdue(const pending_call& pending) const {
   if (!pending.route->is_idempotent || shared_.is_stopping ||
+      shared_.containment.judge(pending.suspicion) != crash_verdict::run ||
       pending.upstreams_reached + 1 >= pending.route->max_upstreams) {
     return false;
   }
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -63,12 +63,15 @@
     int attempts = 0;               // including the current one
     int upstreams_reached = 0;      // attempts that an upstream received or may have received
     bool may_have_executed = false;
-    run_result last_result; // result of the last completed attempt
+    run_result last_result;     // result of the last completed attempt
+    calls::suspicion suspicion; // without a fingerprint if the request is no suspect
     // Newest answer of an upstream that a retry was to improve on.
     std::optional<http_response> failed_answer;
   };
 
   void dispatch(pending_call pending);
+  // Answers a request that crashes its upstreams.
+  void refuse_suspect(const pending_call& pending);
   // The returned query refers to `pending`, which must outlive it.
   upstream_query query_for(const pending_call& pending) const;
   // Returns the host for the next attempt; nothing if there is none. Falls back from the new
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -38,6 +38,9 @@
 // ends.
 constexpr double min_rate_limit = 1.0;
 constexpr double permille = 1000.0;
+// An upstream may go on with a cancelled request for this long.
+constexpr std::chrono::seconds cancelled_retention{2};
+constexpr std::size_t max_cancelled = 16;
 
 bool is_server_error(const run_result& result) {
   return result.outcome == run_outcome::answered && result.answer.status >= first_error_status;
@@ -73,17 +76,67 @@
   if (incoming.request.stated_rate_limit) {
     stated_limit_.on_peer_hint(*incoming.request.stated_rate_limit);
   }
-  update_limits();
-  const queued_run queued{token, incoming.request.rank, latest_start(incoming.request)};
-  const admission_verdict verdict = queue_.submit(queued, shared_.now);
-  if (verdict == admission_verdict::refused) {
-    refuse(incoming, "upstream is full", queue_.expected_wait(incoming.request.rank, shared_.now));
+  incoming.suspicion = suspicion_of(incoming.request);
+  const crash_verdict verdict = shared_.containment.judge(incoming.suspicion);
+  if (verdict == crash_verdict::refuse) {
+    refuse(incoming, poison_reason, poison_retry_after);
     return;
   }
+  incoming.start_by = latest_start(incoming.request);
   (is_local ? tokens_by_local_ : tokens_by_peer_)[reply_token] = token;
   executions_.emplace(token, std::move(incoming));
-  if (verdict == admission_verdict::run) {
+  if (verdict == crash_verdict::isolate) {
+    isolated_waiting_.push_back(token);
+    start_isolated();
+    return;
+  }
+  submit(token);
+}
+
+void upstream_gate::submit(std::uint64_t token) {
+  update_limits();
+  const execution& value = executions_.at(token);
+  const int rank = value.request.rank;
+  switch (queue_.submit({token, rank, value.start_by}, shared_.now)) {
+  case admission_verdict::run:
     start(token);
+    break;
+  case admission_verdict::queued:
+    break;
+  case admission_verdict::refused:
+    withdraw(token, "upstream is full", queue_.expected_wait(rank, shared_.now));
+    break;
+  }
+}
+
+void upstream_gate::withdraw(std::uint64_t token, const std::string& reason, duration retry_after) {
+  const execution refused = std::move(executions_.at(token));
+  forget_execution(token);
+  (refused.is_local ? tokens_by_local_ : tokens_by_peer_).erase(refused.reply_token);
+  refuse(refused, reason, retry_after);
+}
+
+void upstream_gate::forget_execution(std::uint64_t token) {
+  executions_.erase(token);
+  if (isolated_token_ == token) {
+    isolated_token_.reset();
+  }
+}
+
+calls::suspicion upstream_gate::suspicion_of(const run_request& request) {
+  if (request.suspicion.fingerprint == 0) {
+    return shared_.containment.find(request.content, shared_.now);
+  }
+  shared_.containment.merge(request.suspicion, shared_.now);
+  return shared_.containment.find(request.suspicion.fingerprint, shared_.now);
+}
+
+void upstream_gate::start_isolated() {
+  while (!isolated_token_ && !isolated_waiting_.empty()) {
+    const std::uint64_t token = isolated_waiting_.front();
+    isolated_waiting_.pop_front();
+    isolated_token_ = token;
+    submit(token);
   }
 }
 
@@ -177,6 +230,25 @@
 
 void upstream_gate::start(std::uint64_t token) {
   execution& value = executions_.at(token);
+  // Other executions or peers may have changed what is known since the request was accepted.
+  value.suspicion = suspicion_of(value.request);
+  const crash_verdict verdict = shared_.containment.judge(value.suspicion);
+  if (verdict == crash_verdict::refuse) {
+    queue_.release(std::nullopt);
+    withdraw(token, poison_reason, poison_retry_after);
+    return;
+  }
+  if (verdict == crash_verdict::isolate) {
+    if (isolated_token_ && isolated_token_ != token) {
+      queue_.release(std::nullopt);
+      isolated_waiting_.push_back(token);
+      return;
+    }
+    isolated_token_ = token;
+    ++shared_.totals.isolated_runs;
+  } else if (isolated_token_ == token) {
+    isolated_token_.reset();
+  }
   value.attempt = shared_.next_id();
   value.started = shared_.now;
   value.upstream_started_ms = shared_.registry.upstream()->started_ms;
@@ -200,6 +272,7 @@
        token = queue_.next(shared_.now)) {
     start(*token);
   }
+  start_isolated();
 }
 
 void upstream_gate::on_attempt_written(const attempt_written& written) {
@@ -225,12 +298,19 @@
   }
   const std::uint64_t token = found->second;
   tokens_by_attempt_.erase(found);
-  const execution ended = std::move(executions_.at(token));
+  execution ended = std::move(executions_.at(token));
   executions_.erase(token);
   (ended.is_local ? tokens_by_local_ : tokens_by_peer_).erase(ended.reply_token);
   record_completion(ended, end);
-  if (!ended.is_abandoned) {
-    reply(ended, end.result);
+  if (end.is_broken && ended.upstream() != died_) {
+    hold_interrupted(std::move(ended), end.result); // an isolated suspect remains the only one
+  } else {
+    if (isolated_token_ == token) {
+      isolated_token_.reset();
+    }
+    if (!ended.is_abandoned) {
+      reply(ended, end.result);
+    }
   }
   start_queued();
   return true;
@@ -251,15 +331,13 @@
   if (end.is_silent) {
     record_silence(ended);
   }
-  if (end.is_broken) {
-    record_interruption(ended);
-  }
   if (end.result.notice) {
     record_notice(ended, *end.result.notice);
   }
   if (!is_answer) {
     return;
   }
+  clear_suspicion(ended);
   limit_.on_answer(ended.started, shared_.now);
   shared_.registry.on_response(shared_.now);
   const double sample = static_cast<double>(latency.count());
@@ -304,8 +382,24 @@
   }
 }
 
-void upstream_gate::record_interruption(const execution& ended) {
-  interrupted_.push_back(ended);
+void upstream_gate::clear_suspicion(const execution& answered) {
+  const std::optional<calls::suspicion> cleared =
+      shared_.containment.on_answer(answered.request.content, shared_.now);
+  if (!cleared) {
+    return;
+  }
+  ++shared_.totals.suspicions_cleared;
+  if (shared_.containment.judge(*cleared) != crash_verdict::run) {
+    shared_.is_report_due = true; // all daemons treat the request specially
+  }
+  shared_.write(engine::severity::info, "suspicion_cleared",
+                {{"id", answered.request.content.attempt_id},
+                 {"fingerprint", to_hexadecimal(cleared->fingerprint)},
+                 {"deaths", std::to_string(cleared->deaths)}});
+}
+
+void upstream_gate::hold_interrupted(execution ended, run_result result) {
+  interrupted_.push_back({std::move(ended), std::move(result)});
   if (!is_probing_) {
     is_probing_ = true;
     shared_.add_action(probe_upstream{});
@@ -314,33 +408,78 @@
 
 void upstream_gate::on_upstream_probed(const upstream_probed& value) {
   is_probing_ = false;
-  if (value.outcome == probe_outcome::refused) {
+  const std::optional<registered_upstream>& upstream = shared_.registry.upstream();
+  // An upstream that leaves ends by itself.
+  if (value.outcome == probe_outcome::refused && !interrupted_.empty() && upstream &&
+      upstream->state == upstream_lifecycle::ready &&
+      upstream_incarnation{upstream->instance_id, upstream->started_ms} ==
+          interrupted_.front().ended.upstream()) {
     on_upstream_died();
   }
-  interrupted_.clear();
+  for (interruption& item : std::exchange(interrupted_, {})) {
+    if (!item.ended.is_abandoned) {
+      reply(item.ended, std::move(item.result));
+    }
+  }
+  if (isolated_token_ && !executions_.contains(*isolated_token_)) {
+    isolated_token_.reset();
+  }
+  start_queued();
 }
 
 void upstream_gate::on_upstream_died() {
   ++shared_.totals.upstream_deaths;
-  std::string running;
-  for (const execution& item : interrupted_) {
-    running += running.empty() ? "" : ",";
-    running += item.request.content.attempt_id + ":" +
-               to_hexadecimal(fingerprint_of(item.request.content)) + ":" +
-               std::to_string(to_milliseconds(shared_.now - item.started));
+  died_ = interrupted_.front().ended.upstream();
+  std::vector<calls::suspicion> running;
+  std::string requests;
+  const auto add = [&](execution& item) {
+    if (item.attempt == 0 || item.upstream() != died_) {
+      return;
+    }
+    if (item.suspicion.fingerprint == 0) {
+      item.suspicion.fingerprint = fingerprint_of(item.request.content);
+    }
+    running.push_back(item.suspicion);
+    requests += requests.empty() ? "" : ",";
+    requests += item.request.content.attempt_id + ":" + to_hexadecimal(item.suspicion.fingerprint) +
+                ":" + std::to_string(item.suspicion.deaths) + ":" +
+                std::to_string(to_milliseconds(shared_.now - item.started));
+  };
+  for (interruption& item : interrupted_) {
+    add(item.ended);
+  }
+  for (auto& [token, item] : executions_) {
+    add(item);
+  }
+  for (cancellation& item : cancelled_) {
+    if (shared_.now - item.at < cancelled_retention) {
+      add(item.cancelled);
+    }
   }
+  cancelled_.clear();
+  const std::vector<calls::suspicion> suspicions =
+      shared_.containment.on_death(running, shared_.now);
+  shared_.totals.suspicions += suspicions.size();
   shared_.write(engine::severity::warning, "upstream_died",
-                {{"instance", interrupted_.front().request.instance_id},
+                {{"instance", died_->instance_id},
                  {"cold", shared_.registry.is_cold(shared_.now) ? "true" : "false"},
                  {"recent", std::to_string(queue_.recent_starts(shared_.now))},
                  {"rate", std::to_string(queue_.rate())},
-                 {"interrupted", std::to_string(interrupted_.size())},
-                 {"requests", running}});
+                 {"interrupted", std::to_string(running.size())},
+                 {"suspects", std::to_string(suspicions.size())},
+                 {"requests", requests}});
+  shared_.registry.on_unreachable();
+  shared_.is_report_due = true;
+  shared_.is_suspicion_record_due = shared_.is_suspicion_record_due || !suspicions.empty();
+  refuse_queued("upstream died");
 }
 
 void upstream_gate::reply(const execution& ended, run_result result) {
   result.in_flight = queue_.in_flight();
   result.waiting = static_cast<int>(queue_.waiting());
+  if (ended.suspicion.fingerprint != 0) {
+    result.suspicion = shared_.containment.find(ended.suspicion.fingerprint, shared_.now);
+  }
   if (ended.is_local) {
     local_results_.push_back({ended.reply_token, std::move(result)});
   } else {
@@ -367,11 +506,15 @@
 }
 
 void upstream_gate::refuse_queued(const std::string& reason) {
-  for (const std::uint64_t token : queue_.take_all()) {
-    const execution refused = std::move(executions_.at(token));
-    executions_.erase(token);
-    (refused.is_local ? tokens_by_local_ : tokens_by_peer_).erase(refused.reply_token);
-    refuse(refused, reason, duration::zero());
+  std::vector<std::uint64_t> tokens = queue_.take_all();
+  tokens.insert(tokens.end(), isolated_waiting_.begin(), isolated_waiting_.end());
+  isolated_waiting_.clear();
+  for (const std::uint64_t token : tokens) {
+    execution& value = executions_.at(token);
+    value.suspicion = suspicion_of(value.request);
+    const bool is_poison = shared_.containment.judge(value.suspicion) == crash_verdict::refuse;
+    withdraw(token, is_poison ? poison_reason : reason,
+             is_poison ? duration{poison_retry_after} : duration::zero());
   }
 }
 
@@ -383,8 +526,8 @@
   abandon(true, attempt);
 }
 
-// Drops a queued request. Cancels a running one only if it is idempotent: for the others, a known
-// outcome matters more than a free slot.
+// Drops a queued request. Cancels a running one only if it is idempotent and not isolated: for the
+// others, a known outcome matters more than a free slot.
 void upstream_gate::abandon(bool is_local, std::uint64_t reply_token) {
   std::map<std::uint64_t, std::uint64_t>& tokens = is_local ? tokens_by_local_ : tokens_by_peer_;
   const auto found = tokens.find(reply_token);
@@ -394,11 +537,12 @@
   const std::uint64_t token = found->second;
   tokens.erase(found);
   execution& value = executions_.at(token);
-  if (queue_.remove(token)) {
-    executions_.erase(token);
+  if (queue_.remove(token) || std::erase(isolated_waiting_, token) > 0) {
+    forget_execution(token);
+    start_isolated();
     return;
   }
-  if (!value.request.is_idempotent) {
+  if (!value.request.is_idempotent || isolated_token_ == token) {
     value.is_abandoned = true;
     return;
   }
@@ -407,6 +551,10 @@
     record_silence(value);
   }
   tokens_by_attempt_.erase(value.attempt);
+  cancelled_.push_back({std::move(value), shared_.now});
+  if (cancelled_.size() > max_cancelled) {
+    cancelled_.pop_front();
+  }
   executions_.erase(token);
   queue_.release(std::nullopt);
   start_queued();
@@ -564,11 +712,14 @@
 
 void upstream_gate::on_tick() {
   for (const std::uint64_t token : queue_.take_expired(shared_.now)) {
-    const execution refused = std::move(executions_.at(token));
-    executions_.erase(token);
-    (refused.is_local ? tokens_by_local_ : tokens_by_peer_).erase(refused.reply_token);
-    refuse(refused, "no slot became free in time",
-           queue_.expected_wait(refused.request.rank, shared_.now));
+    const int rank = executions_.at(token).request.rank;
+    withdraw(token, "no slot became free in time", queue_.expected_wait(rank, shared_.now));
+  }
+  while (!isolated_waiting_.empty() &&
+         executions_.at(isolated_waiting_.front()).start_by <= shared_.now) {
+    const std::uint64_t token = isolated_waiting_.front();
+    isolated_waiting_.pop_front();
+    withdraw(token, "another suspect is running", duration::zero());
   }
   if (queue_.waiting() > 0) {
     start_queued();
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -65,6 +65,9 @@
     std::int64_t upstream_started_ms = 0; // incarnation of the upstream that it was sent to
     time_point received_at{};
     time_point started{};
+    time_point start_by{};      // latest useful start
+    calls::suspicion suspicion; // as known when it was started
+    upstream_incarnation upstream() const { return {request.instance_id, upstream_started_ms}; }
     bool is_abandoned = false; // the requester has disconnected; the result is not sent
   };
 
@@ -92,9 +95,22 @@
   void record_notice(const execution& ended, const upstream_notice& notice);
   // Takes note of a request that the upstream has not answered.
   void record_silence(const execution& ended);
-  // Takes note of a request whose connection broke, and finds out whether the upstream has died.
-  void record_interruption(const execution& ended);
+  // Keeps a request whose connection broke until it is known whether the upstream has died.
+  void hold_interrupted(execution ended, run_result result);
+  // Attributes the death of the upstream to the requests that it was executing.
   void on_upstream_died();
+  // Returns what this daemon or the sender of the request knows of it.
+  calls::suspicion suspicion_of(const run_request& request);
+  // Clears the suspicion of a request that the upstream has answered.
+  void clear_suspicion(const execution& answered);
+  // Submits the request to the queue: starts, queues or refuses it.
+  void submit(std::uint64_t token);
+  // Removes a request that is not running, and refuses it.
+  void withdraw(std::uint64_t token, const std::string& reason, duration retry_after);
+  // Removes a request that is not running.
+  void forget_execution(std::uint64_t token);
+  // Submits the next isolated suspect if none is running.
+  void start_isolated();
   void update_limits();
   // Returns the rate limit that follows from the cold time of the upstream, in requests per second;
   // zero if there is none, because the upstream is not cold or its service is not configured.
@@ -114,9 +130,22 @@
   std::map<std::uint64_t, std::uint64_t> tokens_by_peer_;  // by the token of the peer's request
   std::map<std::uint64_t, std::uint64_t> tokens_by_local_; // by the local attempt
   std::vector<local_result> local_results_;
-  std::vector<execution> interrupted_; // requests whose connections broke, until the probe is over
+  struct interruption {
+    execution ended;
+    run_result result;
+  };
+  std::vector<interruption> interrupted_; // until the probe of the upstream is over
   bool is_probing_ = false;
-  std::map<std::string, double> route_means_; // mean latency in microseconds, by route
+  std::optional<upstream_incarnation> died_; // upstream that died last
+  // Executions that were cancelled a short time ago; the upstream may go on with them.
+  struct cancellation {
+    execution cancelled;
+    time_point at{};
+  };
+  std::deque<cancellation> cancelled_;
+  std::optional<std::uint64_t> isolated_token_; // isolated suspect that is queued or running
+  std::deque<std::uint64_t> isolated_waiting_;  // tokens of those that wait for it
+  std::map<std::string, double> route_means_;   // mean latency in microseconds, by route
   // The departure of the upstream that is being recorded.
   std::vector<std::uint64_t> departure_tokens_; // heartbeats and deregistrations to acknowledge
   time_point departure_started_{};
--- a/src/arbutuslb/core/gateway/upstream_registry.h
+++ b/src/arbutuslb/core/gateway/upstream_registry.h
@@ -18,6 +18,7 @@
 struct upstream_incarnation {
   std::string instance_id;
   std::int64_t started_ms = 0; // since the Unix epoch; zero if unknown
+  friend bool operator==(const upstream_incarnation&, const upstream_incarnation&) = default;
 };
 
 struct heartbeat {
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -105,6 +105,16 @@
       fleet_ref.handle(target, gateway::departure_recorded{departed, is_recorded, fleet_ref.era_});
     });
   }
+  void operator()(const gateway::record_suspicions& action) const {
+    gateway_fleet& fleet_ref = fleet;
+    const bool is_recorded = !fleet_ref.is_store_down;
+    if (is_recorded) {
+      fleet_ref.suspicions_[index] = action.suspicions;
+    }
+    fleet_ref.after(default_delay, [&fleet_ref, target = index, is_recorded] {
+      fleet_ref.handle(target, gateway::suspicions_recorded{is_recorded, fleet_ref.era_});
+    });
+  }
   void operator()(const gateway::send_reports& action) const {
     gateway_fleet& fleet_ref = fleet;
     const std::size_t target = fleet_ref.index_of(action.host);
@@ -153,6 +163,9 @@
     if (departed != fleet.departures_.end()) {
       found.departed = departed->second;
     }
+    for (const auto& [daemon, recorded] : fleet.suspicions_) {
+      found.suspicions.insert(found.suspicions.end(), recorded.begin(), recorded.end());
+    }
     gateway_fleet& fleet_ref = fleet;
     fleet_ref.after(default_delay,
                     [&fleet_ref, target = index, found] { fleet_ref.handle(target, found); });
@@ -284,6 +297,7 @@
   log_.resize(kept);
   outcomes.clear();
   departures_.clear();
+  suspicions_.clear();
   ++era_;
   for (gateway::operator_record& record : log_) {
     record.position.era = era_;
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -148,6 +148,8 @@
   std::uint64_t last_token_ = 0;
   // Departures recorded in the store, by daemon.
   std::map<std::size_t, core::gateway::upstream_incarnation> departures_;
+  // Suspicions recorded in the store, by daemon.
+  std::map<std::size_t, std::vector<core::calls::suspicion>> suspicions_;
 };
 
 } // namespace arbutuslb::fakes
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -75,9 +75,8 @@
         signals(loop, SIGTERM, SIGINT, SIGHUP), timer(loop), peer_client(loop),
         upstream_client(loop), store_connections(loop), store(store_connections, values.store),
         members(store, values.core.host, values.core.name,
-                [this](const std::string& reason) {
-                  write_event(core::engine::severity::error, "departure_malformed",
-                              {{"reason", reason}});
+                [this](const std::string& event, const std::string& reason) {
+                  write_event(core::engine::severity::error, event, {{"reason", reason}});
                 }),
         follower(
             loop, store, random_seed(),
@@ -168,6 +167,9 @@
     void operator()(const gateway::record_departure& action) const {
       host.record_departure(action.departed);
     }
+    void operator()(const gateway::record_suspicions& action) const {
+      host.record_suspicions(action.suspicions);
+    }
     void operator()(const gateway::read_outcomes&) const { host.read_outcomes(); }
     void operator()(const gateway::record_outcome& action) const { host.record_outcome(action); }
     void operator()(const core::engine::write_event& action) const {
@@ -440,6 +442,12 @@
     });
   }
 
+  void record_suspicions(const std::vector<core::calls::suspicion>& suspicions) {
+    members.record_suspicions(suspicions, [this](bool is_recorded, std::uint64_t era) {
+      handle(gateway::suspicions_recorded{is_recorded, era});
+    });
+  }
+
   void read_outcomes() {
     store.read_newest(platform::outcomes_topic, [this](const platform::read_result& result) {
       if (result.status != platform::read_status::ok) {
@@ -567,7 +575,7 @@
   }
 
   std::string render_metrics() const {
-    return runtime::render_metrics(core.totals(), store.calls(), log.dropped());
+    return runtime::render_metrics(core.totals(), core.containment(), store.calls(), log.dropped());
   }
 
   gateway_host_settings settings;
--- a/src/arbutuslb/runtime/gateway_metrics.cc
+++ b/src/arbutuslb/runtime/gateway_metrics.cc
@@ -11,6 +11,7 @@
 } // namespace
 
 std::string render_metrics(const core::gateway::gateway_statistics& totals,
+                           const core::gateway::crash_containment& containment,
                            std::uint64_t store_calls, std::uint64_t log_lines_dropped) {
   std::string out;
   write_counter(out, "calls_total", totals.calls);
@@ -23,6 +24,12 @@
   write_counter(out, "runs_total", totals.runs);
   write_counter(out, "runs_refused_total", totals.runs_refused);
   write_counter(out, "upstream_deaths_total", totals.upstream_deaths);
+  write_counter(out, "suspicions_total", totals.suspicions);
+  write_counter(out, "suspicions_cleared_total", totals.suspicions_cleared);
+  write_counter(out, "suspicions_dropped_total", containment.registry().dropped());
+  write_counter(out, "suspicions_omitted_total", containment.omitted());
+  write_counter(out, "isolated_runs_total", totals.isolated_runs);
+  write_counter(out, "poison_refusals_total", totals.poison_refusals);
   write_counter(out, "reports_sent_total", totals.reports_sent);
   write_counter(out, "reports_received_total", totals.reports_received);
   write_counter(out, "heartbeats_refused_total", totals.heartbeats_refused);
--- a/src/arbutuslb/runtime/member_registry.cc
+++ b/src/arbutuslb/runtime/member_registry.cc
@@ -16,6 +16,9 @@
   return "departed:" + host;
 }
 
+// So do suspicions. All daemons read those of all.
+constexpr std::string_view suspicion_prefix = "suspected:";
+
 bool is_address(const std::string& key) {
   std::error_code error;
   asio::ip::make_address_v4(key, error);
@@ -24,8 +27,9 @@
 
 } // namespace
 
-member_registry::member_registry(platform::store_client& store, std::string host, std::string name,
-                                 std::function<void(const std::string&)> on_malformed)
+member_registry::member_registry(
+    platform::store_client& store, std::string host, std::string name,
+    std::function<void(const std::string&, const std::string&)> on_malformed)
     : store_(store), host_(std::move(host)), name_(std::move(name)),
       on_malformed_(std::move(on_malformed)) {}
 
@@ -62,13 +66,17 @@
     if (is_address(record.key) && !record.value.empty()) {
       peers.hosts.push_back(record.key);
     }
-    if (record.key != departure_key(host_)) {
-      continue;
-    }
+    const bool is_departure = record.key == departure_key(host_);
     try {
-      peers.departed = wire::decode_departure(record.value);
+      if (is_departure) {
+        peers.departed = wire::decode_departure(record.value);
+      } else if (record.key.starts_with(suspicion_prefix)) {
+        const std::vector<core::calls::suspicion> suspicions =
+            wire::decode_suspicions(record.value);
+        peers.suspicions.insert(peers.suspicions.end(), suspicions.begin(), suspicions.end());
+      }
     } catch (const wire::codec_error& error) {
-      on_malformed_(error.what());
+      on_malformed_(is_departure ? "departure_malformed" : "suspicions_malformed", error.what());
     }
   }
   return peers;
@@ -76,8 +84,18 @@
 
 void member_registry::record_departure(const gateway::upstream_incarnation& departed,
                                        std::function<void(bool, std::uint64_t)> on_result) {
-  store_.append(platform::members_topic, departure_key(host_), wire::encode_departure(departed),
-                std::nullopt,
+  record(departure_key(host_), wire::encode_departure(departed), std::move(on_result));
+}
+
+void member_registry::record_suspicions(const std::vector<core::calls::suspicion>& suspicions,
+                                        std::function<void(bool, std::uint64_t)> on_result) {
+  record(std::string(suspicion_prefix) + host_, wire::encode_suspicions(suspicions),
+         std::move(on_result));
+}
+
+void member_registry::record(const std::string& key, const std::string& value,
+                             std::function<void(bool, std::uint64_t)> on_result) {
+  store_.append(platform::members_topic, key, value, std::nullopt,
                 [on_result = std::move(on_result)](const platform::append_result& result) {
                   on_result(result.status == platform::append_status::appended, result.era);
                 });
--- a/src/arbutuslb/runtime/member_registry_test.cc
+++ b/src/arbutuslb/runtime/member_registry_test.cc
@@ -29,7 +29,7 @@
 Test(member_registry, a_registration_that_the_copy_lacks_is_written_again) {
   store_fixture fixture;
   arbutuslb::runtime::member_registry members(fixture.client, "10.0.0.7", "seven",
-                                              [](const std::string&) {});
+                                              [](const std::string&, const std::string&) {});
   cr_assert(lists(discover(fixture, members, 0), "10.0.0.7"));
   const std::uint64_t calls = fixture.store.calls();
   cr_assert(lists(discover(fixture, members, 1), "10.0.0.7"));
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -40,6 +40,23 @@
   return headers;
 }
 
+void to_proto(const core::calls::suspicion& from, Suspicion& out) {
+  out.set_fingerprint(from.fingerprint);
+  out.set_generation(from.generation);
+  out.set_deaths(from.deaths);
+  out.set_last_death_ms(core::to_epoch_milliseconds(from.last_death));
+}
+
+core::calls::suspicion from_proto(const Suspicion& in) {
+  // The year 10000; later times overflow the core's clock.
+  constexpr std::int64_t max_epoch_ms = 253'402'300'800'000;
+  if (in.last_death_ms() < 0 || in.last_death_ms() > max_epoch_ms) {
+    throw codec_error("time of a death out of range");
+  }
+  return {in.fingerprint(), in.generation(), in.deaths(),
+          core::time_point{std::chrono::milliseconds{in.last_death_ms()}}};
+}
+
 double checked_rate(double per_second) {
   if (!std::isfinite(per_second) || per_second < 0) {
     throw codec_error("rate limit out of range");
@@ -69,6 +86,9 @@
   if (value.stated_rate_limit) {
     out.set_stated_rate_limit(*value.stated_rate_limit);
   }
+  if (value.suspicion.fingerprint != 0) {
+    to_proto(value.suspicion, *out.mutable_suspicion());
+  }
   return out.SerializeAsString();
 }
 
@@ -94,6 +114,9 @@
   if (in.has_stated_rate_limit()) {
     value.stated_rate_limit = checked_rate(in.stated_rate_limit());
   }
+  if (in.has_suspicion()) {
+    value.suspicion = from_proto(in.suspicion());
+  }
   return value;
 }
 
@@ -115,6 +138,9 @@
     }
     notice.set_is_leaving(value.notice->is_leaving);
   }
+  if (value.suspicion.fingerprint != 0) {
+    to_proto(value.suspicion, *out.mutable_suspicion());
+  }
   return out.SerializeAsString();
 }
 
@@ -140,6 +166,9 @@
       value.notice->rate_limit = checked_rate(in.notice().rate_limit());
     }
   }
+  if (in.has_suspicion()) {
+    value.suspicion = from_proto(in.suspicion());
+  }
   return value;
 }
 
@@ -186,6 +215,9 @@
   for (const core::protocol::evidence_report& item : value.evidence) {
     wire::to_proto(item, *out.add_evidence());
   }
+  for (const core::calls::suspicion& item : value.suspicions) {
+    to_proto(item, *out.add_suspicions());
+  }
 }
 
 gateway::peer_report report_from_proto(const GatewayReport& in, const std::string& host) {
@@ -224,6 +256,9 @@
   for (const EvidenceReport& item : in.evidence()) {
     value.evidence.push_back(from_proto(item));
   }
+  for (const Suspicion& item : in.suspicions()) {
+    value.suspicions.push_back(from_proto(item));
+  }
   return value;
 }
 
@@ -300,6 +335,23 @@
   return {in.era(), in.from_offset()};
 }
 
+std::string encode_suspicions(const std::vector<core::calls::suspicion>& value) {
+  SuspicionRecord out;
+  for (const core::calls::suspicion& item : value) {
+    to_proto(item, *out.add_suspicions());
+  }
+  return out.SerializeAsString();
+}
+
+std::vector<core::calls::suspicion> decode_suspicions(std::string_view bytes) {
+  const SuspicionRecord in = parse<SuspicionRecord>(bytes);
+  std::vector<core::calls::suspicion> value;
+  for (const Suspicion& item : in.suspicions()) {
+    value.push_back(from_proto(item));
+  }
+  return value;
+}
+
 std::string encode_departure(const gateway::upstream_incarnation& value) {
   Departure out;
   out.set_instance_id(value.instance_id);
--- a/src/arbutuslb/runtime/wire/gateway_codec.h
+++ b/src/arbutuslb/runtime/wire/gateway_codec.h
@@ -28,6 +28,7 @@
 std::string encode(const core::gateway::report_bundle& bundle);
 std::string encode(const operator_records_reply& value);
 std::string encode_operator_records_request(const core::gateway::log_position& from);
+std::string encode_suspicions(const std::vector<core::calls::suspicion>& value);
 std::string encode_departure(const core::gateway::upstream_incarnation& value);
 
 // All throw `codec_error` if the bytes are malformed or contain a value out of range.
@@ -38,6 +39,7 @@
 core::gateway::report_bundle decode_reports(std::string_view bytes, const std::string& host);
 operator_records_reply decode_operator_records_reply(std::string_view bytes);
 core::gateway::log_position decode_operator_records_request(std::string_view bytes);
+std::vector<core::calls::suspicion> decode_suspicions(std::string_view bytes);
 core::gateway::upstream_incarnation decode_departure(std::string_view bytes);
 
 } // namespace arbutuslb::runtime::wire
