--- a/src/arbutuslb/core/calls/poison_registry.h
+++ b/src/arbutuslb/core/calls/poison_registry.h
@@ -24,8 +24,9 @@
 struct poison_policy {
   std::uint32_t deaths_before_isolation = 1; // executed one at a time from then on
   std::uint32_t deaths_before_refusal = 2;
-  // Duration of the first refusal. Each further death doubles it, at most four times.
+  // Duration of the first refusal. Each further death doubles it, at most `max_doublings` times.
   duration base_refusal_time = std::chrono::minutes{5};
+  std::uint32_t max_doublings = 4;
   // Time since the last death after which a request is no longer a suspect.
   duration suspicion_retention = std::chrono::minutes{10};
   std::size_t max_suspects = 4096;
@@ -158,7 +159,8 @@
     if (item.deaths < policy_.deaths_before_refusal) {
       return {};
     }
-    const std::uint32_t doublings = std::min(item.deaths - policy_.deaths_before_refusal, 4U);
+    const std::uint32_t doublings =
+        std::min(item.deaths - policy_.deaths_before_refusal, policy_.max_doublings);
     return item.last_death + policy_.base_refusal_time * (1U << doublings);
   }
 
--- a/src/arbutuslb/core/gateway/crash_containment.cc
+++ b/src/arbutuslb/core/gateway/crash_containment.cc
@@ -24,6 +24,7 @@
   policy.deaths_before_isolation = deaths_before_isolation;
   policy.deaths_before_refusal = deaths_before_refusal;
   policy.base_refusal_time = containment_time;
+  policy.max_doublings = 0;
   policy.suspicion_retention = containment_time;
   policy.max_suspects = max_suspects;
   return policy;
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -327,6 +327,9 @@
     shared_.is_report_due = true;
     shared_.write(engine::severity::warning, "upstream_unreachable",
                   {{"instance", ended.request.instance_id}});
+    if (has_recent_cancellation()) {
+      probe(); // no connection broke if only cancelled requests were running
+    }
   }
   if (end.is_silent) {
     record_silence(ended);
@@ -400,23 +403,36 @@
 
 void upstream_gate::hold_interrupted(execution ended, run_result result) {
   interrupted_.push_back({std::move(ended), std::move(result)});
+  probe();
+}
+
+void upstream_gate::probe() {
   if (!is_probing_) {
     is_probing_ = true;
     shared_.add_action(probe_upstream{});
   }
 }
 
+bool upstream_gate::has_recent_cancellation() const {
+  return !cancelled_.empty() && shared_.now - cancelled_.back().at < cancelled_retention;
+}
+
 void upstream_gate::on_upstream_probed(const upstream_probed& value) {
   is_probing_ = false;
   const std::optional<registered_upstream>& upstream = shared_.registry.upstream();
   // An upstream that leaves ends by itself.
-  if (value.outcome == probe_outcome::refused && !interrupted_.empty() && upstream &&
-      upstream->state == upstream_lifecycle::ready &&
-      upstream_incarnation{upstream->instance_id, upstream->started_ms} ==
-          interrupted_.front().ended.upstream()) {
-    on_upstream_died();
+  if (value.outcome == probe_outcome::refused && upstream &&
+      upstream->state == upstream_lifecycle::ready) {
+    const upstream_incarnation current{upstream->instance_id, upstream->started_ms};
+    if (current != died_) {
+      died_ = current;
+      on_upstream_died();
+    }
   }
   for (interruption& item : std::exchange(interrupted_, {})) {
+    if (item.ended.upstream() == died_) {
+      item.result.reason = "upstream died";
+    }
     if (!item.ended.is_abandoned) {
       reply(item.ended, std::move(item.result));
     }
@@ -429,7 +445,6 @@
 
 void upstream_gate::on_upstream_died() {
   ++shared_.totals.upstream_deaths;
-  died_ = interrupted_.front().ended.upstream();
   std::vector<calls::suspicion> running;
   std::string requests;
   const auto add = [&](execution& item) {
@@ -439,6 +454,10 @@
     if (item.suspicion.fingerprint == 0) {
       item.suspicion.fingerprint = fingerprint_of(item.request.content);
     }
+    if (item.request.is_retry) {
+      // Deaths under one attempt of a caller form a chain, even if its executions overlapped.
+      item.suspicion = shared_.containment.find(item.suspicion.fingerprint, shared_.now);
+    }
     running.push_back(item.suspicion);
     requests += requests.empty() ? "" : ",";
     requests += item.request.content.attempt_id + ":" + to_hexadecimal(item.suspicion.fingerprint) +
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -97,6 +97,9 @@
   void record_silence(const execution& ended);
   // Keeps a request whose connection broke until it is known whether the upstream has died.
   void hold_interrupted(execution ended, run_result result);
+  // Finds out whether the upstream still accepts connections.
+  void probe();
+  bool has_recent_cancellation() const;
   // Attributes the death of the upstream to the requests that it was executing.
   void on_upstream_died();
   // Returns what this daemon or the sender of the request knows of it.
@@ -136,7 +139,7 @@
   };
   std::vector<interruption> interrupted_; // until the probe of the upstream is over
   bool is_probing_ = false;
-  std::optional<upstream_incarnation> died_; // upstream that died last
+  std::optional<upstream_incarnation> died_; // the upstream that was last found dead
   // Executions that were cancelled a short time ago; the upstream may go on with them.
   struct cancellation {
     execution cancelled;
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -232,6 +232,37 @@
   cr_assert(reply.operator_records.at(0).position == earlier);
 }
 
+Test(gateway_codec, suspicions_survive_a_round_trip) {
+  namespace wire = arbutuslb::runtime::wire;
+  const core::calls::suspicion suspect{0xfeedU, 2, 3, core::time_point{1'790'000'000'123ms}};
+  gateway::run_request request;
+  request.suspicion = suspect;
+  cr_assert(wire::decode_run_request(wire::encode(request)).suspicion == suspect);
+  gateway::run_result result;
+  result.suspicion = suspect;
+  cr_assert(wire::decode_run_result(wire::encode(result)).suspicion == suspect);
+  gateway::report_bundle bundle;
+  bundle.reports.emplace_back();
+  bundle.reports[0].content.suspicions = {suspect};
+  const gateway::report_bundle decoded = wire::decode_reports(wire::encode(bundle), "10.0.0.1");
+  cr_assert(decoded.reports[0].content.suspicions == bundle.reports[0].content.suspicions);
+  cr_assert(wire::decode_suspicions(wire::encode_suspicions({suspect, suspect})) ==
+            std::vector<core::calls::suspicion>({suspect, suspect}));
+  cr_assert_eq(wire::decode_run_request(wire::encode(gateway::run_request{})).suspicion.fingerprint,
+               0);
+}
+
+Test(gateway_codec, a_suspicion_with_an_impossible_time_is_rejected) {
+  namespace wire = arbutuslb::runtime::wire;
+  const core::calls::suspicion impossible{1, 0, 1, core::time_point::min()};
+  try {
+    wire::decode_suspicions(wire::encode_suspicions({impossible}));
+    cr_assert_fail("not rejected");
+  } catch (const wire::codec_error& error) {
+    cr_assert_neq(std::string(error.what()), "");
+  }
+}
+
 Test(gateway_settings, every_fault_is_named_with_its_place) {
   try {
     arbutuslb::runtime::parse_gateway_settings(
--- a/src/arbutuslb/runtime/member_registry_test.cc
+++ b/src/arbutuslb/runtime/member_registry_test.cc
@@ -1,5 +1,6 @@
 // Tests of the registry of daemons against the stand-in store on loopback.
 
+#include "arbutuslb/platform/orders.h"
 #include "arbutuslb/runtime/member_registry.h"
 #include "arbutuslb/runtime/store_test_support.h"
 
@@ -37,3 +38,25 @@
   fixture.store.restore(std::chrono::hours{1});
   cr_assert(lists(discover(fixture, members, 2), "10.0.0.7"));
 }
+
+Test(member_registry, every_daemon_reads_the_suspicions_of_all_others) {
+  store_fixture fixture;
+  arbutuslb::runtime::member_registry one(fixture.client, "10.0.0.7", "seven",
+                                          [](const std::string&, const std::string&) {});
+  std::vector<std::string> malformed;
+  arbutuslb::runtime::member_registry other(
+      fixture.client, "10.0.0.8", "eight",
+      [&](const std::string& event, const std::string&) { malformed.push_back(event); });
+  const arbutuslb::core::calls::suspicion suspect{
+      42, 1, 2, arbutuslb::core::time_point{std::chrono::hours{24}}};
+  int recorded = 0;
+  one.record_suspicions({suspect},
+                        [&](bool is_recorded, std::uint64_t) { recorded += is_recorded ? 1 : 0; });
+  fixture.client.append(arbutuslb::platform::members_topic, "suspected:10.0.0.9", "not protobuf",
+                        std::nullopt,
+                        [&](const arbutuslb::platform::append_result&) { ++recorded; });
+  cr_assert(fixture.run_until([&] { return recorded == 2; }));
+  const gateway::peers_discovered found = discover(fixture, other, 0);
+  cr_assert(found.suspicions == std::vector<arbutuslb::core::calls::suspicion>({suspect}));
+  cr_assert(malformed == std::vector<std::string>({"suspicions_malformed"}));
+}
