Daemons of the soak do not inherit its sockets

Cause: the soak's sockets are not closed on exec, so that each daemon held copies of those that were open when it started. A listening socket that the soak closed stayed open in its daemons (bind: Address already in use), and a connection that it closed without a reset was not seen as closed by the other end.

Change: the child closes all descriptors but the standard ones.

--- a/src/arbutuslb/soak/child_process.cc
+++ b/src/arbutuslb/soak/child_process.cc
@@ -25,6 +25,8 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, log_mode);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A socket that the child inherited would stay open after it is closed here.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error =
       posix_spawn(&pid_, arguments.front(), &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
