The soak has a request that crashes its upstreams

Every 0.7 s some daemon's caller sends the same request, which crashes the upstream that executes it; the upstream is unreachable for a second and starts again as a new instance. Checked: after the third crash, daemons without a disturbance execute it no more than three times (the users' rule). All sound GET requests of the soak have one path and no body, so that they cannot be told apart; the final check of their success covers that none is refused for long. The crashes of a run are printed.

The other faults of a seed are unchanged, since the crashing request has a random source of its own.

--- a/src/arbutuslb/soak/link_proxy.cc
+++ b/src/arbutuslb/soak/link_proxy.cc
@@ -15,10 +15,11 @@
 
 struct link_proxy::state : std::enable_shared_from_this<link_proxy::state> {
   state(asio::io_context& io_loop, const tcp::endpoint& listen, const tcp::endpoint& to)
-      : loop(io_loop), acceptor(io_loop, listen), target(to) {}
+      : loop(io_loop), address(listen), acceptor(io_loop, listen), target(to) {}
   void accept();
 
   asio::io_context& loop;
+  tcp::endpoint address;
   tcp::acceptor acceptor;
   tcp::endpoint target;
   link_fault fault;
@@ -158,4 +159,15 @@
   }
 }
 
+void link_proxy::set_listening(bool is_listening) {
+  if (is_listening && !state_->acceptor.is_open()) {
+    state_->acceptor = tcp::acceptor(state_->loop, state_->address);
+    state_->accept();
+  } else if (!is_listening) {
+    std::error_code ignored; // it may be closed already
+    state_->acceptor.close(ignored);
+    reset_all();
+  }
+}
+
 } // namespace arbutuslb::soak
--- a/src/arbutuslb/soak/soak.cc
+++ b/src/arbutuslb/soak/soak.cc
@@ -38,6 +38,11 @@
 // when newer ones have been published.
 constexpr std::uint64_t kept_versions = 4;
 constexpr std::chrono::milliseconds departure_period{2500};
+constexpr std::chrono::milliseconds crash_period{700};
+// Executions of a request that crashes its upstreams, begun later than `stability_window` after the
+// third crash by undisturbed daemons.
+constexpr int max_late_crashes = 3;
+constexpr std::size_t tolerated_crashes = 3;
 constexpr std::chrono::milliseconds sweep_period{50};
 constexpr std::chrono::seconds final_check_time{3};
 constexpr std::size_t domains = 2;
@@ -71,6 +76,7 @@
 public:
   explicit soak(const soak_options& options)
       : options_(options), random_(options.seed), restore_random_(~options.seed),
+        crash_random_(options.seed + 1),
         ledger_([this](const std::string& promise, const std::string& id) { report(promise, id); }),
         store_(loop_, {address(true, 1), store_port}, random_.bits()), client_(loop_),
         operator_connections_(loop_),
@@ -95,8 +101,9 @@
               << " answered=" << totals.answered << " refused=" << totals.refused
               << " unknown=" << totals.unknown << " runs=" << totals.executions
               << " faults=" << fault_count_ << " restores=" << restore_count_
-              << " versions=" << version_ << " broken=" << broken_count_
-              << " result=" << (broken_count_ == 0 ? "ok" : "failed") << std::endl;
+              << " crashes=" << crashes_.size() << " versions=" << version_
+              << " broken=" << broken_count_ << " result=" << (broken_count_ == 0 ? "ok" : "failed")
+              << std::endl;
     return broken_count_;
   }
 
@@ -126,14 +133,23 @@
     const std::string service = settings.service;
     upstreams_.push_back(std::make_unique<upstream_stand_in>(
         loop_, sites_.back()->make_upstream_settings(), random_.bits(),
-        [this](const std::string& id) { ledger_.on_execution(id); },
-        [this](const std::string& id, duration late) {
-          if (options_.checks_times && late > drain_bound) {
-            report("executed " + std::to_string(core::to_milliseconds(late)) +
-                       " ms after the departure was acknowledged",
-                   id);
-          }
-        }));
+        upstream_handlers{[this, i](const std::string& id) {
+                            ledger_.on_execution(id);
+                            check_crash(i, id);
+                          },
+                          [this](const std::string& id, duration late) {
+                            if (options_.checks_times && late > drain_bound) {
+                              report("executed " + std::to_string(core::to_milliseconds(late)) +
+                                         " ms after the departure was acknowledged",
+                                     id);
+                            }
+                          },
+                          [this, i](bool is_running) {
+                            sites_[i]->upstream_link.set_listening(is_running);
+                            if (!is_running) {
+                              crashes_.push_back(clock_.now());
+                            }
+                          }}));
   }
 
   void start_load() {
@@ -144,6 +160,7 @@
     every(departure_period, [this] {
       upstreams_[random_.below(upstreams_.size())]->depart(random_.fraction() < 0.3);
     });
+    every(crash_period, [this] { call_crashing(); });
     schedule_fault();
     after(options_.fault_time, [this] { stop_faults(); });
   }
@@ -193,6 +210,41 @@
     });
   }
 
+  // Sends the same crashing request to some daemon.
+  void call_crashing() {
+    const std::size_t index = crash_random_.below(sites_.size());
+    const std::string id = "c-" + std::to_string(++last_crash_);
+    crash_senders_[id] = index;
+    core::http_request request;
+    request.method = "GET";
+    request.target = crashing_target;
+    ledger_.on_sent(id, false, "");
+    send(*sites_[index], std::move(request), id, [this, id](const http::exchange_result& end) {
+      if (end.outcome == http::exchange_outcome::answered) {
+        ledger_.on_answer(id, end.answer);
+      } else {
+        ledger_.on_no_answer(id);
+      }
+    });
+  }
+
+  bool is_undisturbed(std::size_t index) const {
+    return clock_.now() - sites_[index]->disturbed_until > stability_window &&
+           clock_.now() - store_disturbed_until_ > stability_window;
+  }
+
+  void check_crash(std::size_t executor, const std::string& id) {
+    const auto sender = crash_senders_.find(id);
+    if (sender == crash_senders_.end() || crashes_.size() < tolerated_crashes ||
+        clock_.now() - crashes_[tolerated_crashes - 1] < stability_window) {
+      return;
+    }
+    if (is_undisturbed(executor) && is_undisturbed(sender->second) &&
+        ++late_crash_count_ > max_late_crashes) {
+      report("a request that has crashed three upstreams was executed again", id);
+    }
+  }
+
   void send(site& instance, core::http_request request, const std::string& id,
             http::client::completion_handler on_end) {
     request.headers = {{"Host", host_name},
@@ -431,6 +483,7 @@
   core::random_source random_;
   // Its own source, so that the other faults of a seed do not depend on restores.
   core::random_source restore_random_;
+  core::random_source crash_random_; // likewise
   asio::io_context loop_{1};
   runtime::anchored_clock clock_;
   ledger ledger_;
@@ -442,6 +495,10 @@
   std::vector<std::unique_ptr<upstream_stand_in>> upstreams_;
   time_point store_disturbed_until_{};
   std::uint64_t last_call_ = 0;
+  std::uint64_t last_crash_ = 0;
+  std::map<std::string, std::size_t> crash_senders_; // by attempt
+  std::vector<time_point> crashes_;
+  int late_crash_count_ = 0;
   std::uint64_t version_ = 0;
   int fault_count_ = 0;
   int restore_count_ = 0;
--- a/src/arbutuslb/soak/upstream_stand_in.cc
+++ b/src/arbutuslb/soak/upstream_stand_in.cc
@@ -24,6 +24,7 @@
 // `restart_delay` later.
 constexpr std::chrono::milliseconds draining_time{3500};
 constexpr std::chrono::milliseconds restart_delay{300};
+constexpr std::chrono::milliseconds crash_down_time{1000};
 
 std::string to_text(const asio::ip::tcp::endpoint& address) {
   return address.address().to_string() + ":" + std::to_string(address.port());
@@ -40,12 +41,9 @@
   return std::to_string(core::hash_bytes(attempt_id));
 }
 
-upstream_stand_in::upstream_stand_in(
-    asio::io_context& loop, upstream_settings settings, std::uint64_t seed,
-    std::function<void(const std::string&)> on_execution,
-    std::function<void(const std::string&, core::duration)> on_late_execution)
-    : loop_(loop), settings_(std::move(settings)), random_(seed),
-      on_execution_(std::move(on_execution)), on_late_execution_(std::move(on_late_execution)),
+upstream_stand_in::upstream_stand_in(asio::io_context& loop, upstream_settings settings,
+                                     std::uint64_t seed, upstream_handlers handlers)
+    : loop_(loop), settings_(std::move(settings)), random_(seed), handlers_(std::move(handlers)),
       heartbeats_(loop), server_(loop, settings_.listen,
                                  {[this](std::uint64_t token, const core::http_request& request) {
                                     on_request(token, request);
@@ -95,6 +93,15 @@
   });
 }
 
+void upstream_stand_in::crash() {
+  phase_ = phase::offline;
+  handlers_.on_crash(false);
+  after(crash_down_time, [this] {
+    handlers_.on_crash(true);
+    start_instance(false);
+  });
+}
+
 void upstream_stand_in::schedule_heartbeat(core::duration delay) {
   heartbeat_timer_.expires_after(delay);
   heartbeat_timer_.async_wait([this](std::error_code error) {
@@ -157,9 +164,17 @@
     server_.respond(token, answer);
     return;
   }
-  on_execution_(attempt_id);
+  handlers_.on_execution(attempt_id);
   if (departure_acknowledged_at_ != core::time_point{}) {
-    on_late_execution_(attempt_id, clock_.now() - departure_acknowledged_at_);
+    handlers_.on_late_execution(attempt_id, clock_.now() - departure_acknowledged_at_);
+  }
+  if (request.target == crashing_target) {
+    after(min_execution_time, [this, instance = instance_id_] {
+      if (instance == instance_id_ && phase_ == phase::ready) {
+        crash();
+      }
+    });
+    return;
   }
   after(
       min_execution_time + random_.jitter(execution_time_spread),
--- a/src/arbutuslb/soak/upstream_stand_in.h
+++ b/src/arbutuslb/soak/upstream_stand_in.h
@@ -1,7 +1,8 @@
-// Stand-in for the local upstream of a daemon. It executes requests, sends heartbeats, departs and
-// starts again.
+// Stand-in for the local upstream of a daemon. It executes requests, sends heartbeats, departs,
+// crashes on some requests, and starts again.
 //
-// It reports each execution, and again those that begin after its departure was acknowledged.
+// It reports each execution, again those that begin after its departure was acknowledged, and each
+// crash.
 #pragma once
 
 #include "arbutuslb/core/base/random.h"
@@ -15,6 +16,9 @@
 
 namespace arbutuslb::soak {
 
+// A request with this target crashes the upstream that executes it.
+inline constexpr const char* crashing_target = "/menu/crash";
+
 // Returns the signature of the answer to an attempt. Callers check it.
 std::string signature_of(const std::string& attempt_id);
 
@@ -26,15 +30,20 @@
   asio::ip::tcp::endpoint daemon;     // receives the heartbeats
 };
 
+struct upstream_handlers {
+  // The execution of an attempt begins.
+  std::function<void(const std::string& attempt_id)> on_execution;
+  // The departure of the instance was acknowledged before; `late` is the time since then.
+  std::function<void(const std::string& attempt_id, core::duration late)> on_late_execution;
+  // The process ends (false): it must be unreachable until it starts again (true).
+  std::function<void(bool is_running)> on_crash;
+};
+
 // Not thread-safe.
 class upstream_stand_in {
 public:
-  // Calls `on_execution` when the execution of an attempt begins. Also calls `on_late_execution` if
-  // the departure of the instance was acknowledged before; `late` is the time since then.
-  upstream_stand_in(
-      asio::io_context& loop, upstream_settings settings, std::uint64_t seed,
-      std::function<void(const std::string& attempt_id)> on_execution,
-      std::function<void(const std::string& attempt_id, core::duration late)> on_late_execution);
+  upstream_stand_in(asio::io_context& loop, upstream_settings settings, std::uint64_t seed,
+                    upstream_handlers handlers);
 
   // Starts a departure: announces it, serves requests for a while, and starts again with a new
   // instance id or, if `keeps_id`, with the same id and a later start time. Does nothing if a
@@ -48,6 +57,7 @@
 
   void on_request(std::uint64_t token, const core::http_request& request);
   void answer_request(std::uint64_t token, const std::string& attempt_id, const std::string& body);
+  void crash();
   void start_instance(bool keeps_id);
   void schedule_heartbeat(core::duration delay);
   void send_heartbeat(phase reported, std::uint64_t sequence);
@@ -57,8 +67,7 @@
   upstream_settings settings_;
   core::random_source random_;
   runtime::anchored_clock clock_;
-  std::function<void(const std::string&)> on_execution_;
-  std::function<void(const std::string&, core::duration)> on_late_execution_;
+  upstream_handlers handlers_;
   phase phase_ = phase::ready;
   std::string instance_id_;
   std::int64_t started_ms_ = 0;
