Interrupted requests outlast a planned stop, and a quick restart of an upstream is a death

Two faults of the new containment, found by reading it: - A gate that waits for its probe keeps interrupted requests apart from its executions. A planned stop took it for idle and exited; the callers of those requests would have got a broken connection. (gate::a_planned_stop_waits_for_interrupted_requests) - An upstream whose supervisor starts it again within the time of the probe answers it, so that its death was not seen. The heartbeat of a new incarnation, where the former one was not leaving, now proves the death of those that had not finished. (gate::a_death_is_noticed_when_the_upstream_has_started_again_before_the_probe)

The probe has 100 ms instead of the 300 ms of other connections, since callers wait for it. A refusal that reaches a probe begun for an earlier incarnation is not attributed to the present one.

--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -269,3 +269,34 @@
   daemon.core.handle(gateway::upstream_probed{gateway::probe_outcome::reachable}, start);
   cr_assert_eq(daemon.core.totals().upstream_deaths, 0);
 }
+
+Test(gate, a_planned_stop_waits_for_interrupted_requests) {
+  tested_daemon daemon;
+  const std::vector<gateway::action> started = daemon.run();
+  daemon.core.handle(gateway::stop_requested{}, start);
+  gateway::attempt_completed broken{find<gateway::send_to_upstream>(started)->attempt, {}};
+  broken.is_broken = true;
+  daemon.core.handle(broken, start + 2s);
+  cr_assert_eq(find<gateway::exit_process>(daemon.core.handle(gateway::tick{}, start + 3s)),
+               nullptr);
+  const std::vector<gateway::action> actions =
+      daemon.core.handle(gateway::upstream_probed{gateway::probe_outcome::unknown}, start + 3s);
+  cr_assert_neq(find<gateway::answer_peer>(actions), nullptr);
+  cr_assert_neq(find<gateway::exit_process>(daemon.core.handle(gateway::tick{}, start + 4s)),
+                nullptr);
+}
+
+Test(gate, a_death_is_noticed_when_the_upstream_has_started_again_before_the_probe) {
+  tested_daemon daemon;
+  const std::vector<gateway::action> started = daemon.run();
+  gateway::attempt_completed broken{find<gateway::send_to_upstream>(started)->attempt, {}};
+  broken.is_broken = true;
+  daemon.core.handle(broken, start);
+  daemon.core.handle(gateway::upstream_probed{gateway::probe_outcome::reachable}, start);
+  gateway::heartbeat restarted = heartbeat();
+  restarted.instance_id = "i-2";
+  restarted.started_ms = 6;
+  daemon.core.handle(gateway::heartbeat_received{2, restarted}, start + 1s);
+  cr_assert_eq(daemon.core.totals().upstream_deaths, 1);
+  cr_assert_eq(daemon.core.totals().suspicions, 1);
+}
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -38,9 +38,9 @@
 // ends.
 constexpr double min_rate_limit = 1.0;
 constexpr double permille = 1000.0;
-// An upstream may go on with a cancelled request for this long.
-constexpr std::chrono::seconds cancelled_retention{2};
-constexpr std::size_t max_cancelled = 16;
+// An upstream may go on with a cancelled request, or start again after its death, within this time.
+constexpr std::chrono::seconds unfinished_retention{2};
+constexpr std::size_t max_unfinished = 32;
 
 bool is_server_error(const run_result& result) {
   return result.outcome == run_outcome::answered && result.answer.status >= first_error_status;
@@ -327,7 +327,7 @@
     shared_.is_report_due = true;
     shared_.write(engine::severity::warning, "upstream_unreachable",
                   {{"instance", ended.request.instance_id}});
-    if (has_recent_cancellation()) {
+    if (has_unfinished()) {
       probe(); // no connection broke if only cancelled requests were running
     }
   }
@@ -413,8 +413,15 @@
   }
 }
 
-bool upstream_gate::has_recent_cancellation() const {
-  return !cancelled_.empty() && shared_.now - cancelled_.back().at < cancelled_retention;
+bool upstream_gate::has_unfinished() const {
+  return !unfinished_.empty() && shared_.now - unfinished_.back().since < unfinished_retention;
+}
+
+void upstream_gate::remember_unfinished(execution item) {
+  unfinished_.push_back({std::move(item), shared_.now});
+  if (unfinished_.size() > max_unfinished) {
+    unfinished_.pop_front();
+  }
 }
 
 void upstream_gate::on_upstream_probed(const upstream_probed& value) {
@@ -424,14 +431,19 @@
   if (value.outcome == probe_outcome::refused && upstream &&
       upstream->state == upstream_lifecycle::ready) {
     const upstream_incarnation current{upstream->instance_id, upstream->started_ms};
-    if (current != died_) {
-      died_ = current;
-      on_upstream_died();
+    const bool is_earlier =
+        !interrupted_.empty() && interrupted_.front().ended.upstream() != current;
+    if (current != died_ && !is_earlier) {
+      shared_.registry.on_unreachable();
+      on_upstream_died(current);
+      refuse_queued("upstream died");
     }
   }
   for (interruption& item : std::exchange(interrupted_, {})) {
     if (item.ended.upstream() == died_) {
       item.result.reason = "upstream died";
+    } else {
+      remember_unfinished(item.ended); // it may have started again already
     }
     if (!item.ended.is_abandoned) {
       reply(item.ended, std::move(item.result));
@@ -443,8 +455,9 @@
   start_queued();
 }
 
-void upstream_gate::on_upstream_died() {
+void upstream_gate::on_upstream_died(const upstream_incarnation& died) {
   ++shared_.totals.upstream_deaths;
+  died_ = died;
   std::vector<calls::suspicion> running;
   std::string requests;
   const auto add = [&](execution& item) {
@@ -470,12 +483,12 @@
   for (auto& [token, item] : executions_) {
     add(item);
   }
-  for (cancellation& item : cancelled_) {
-    if (shared_.now - item.at < cancelled_retention) {
-      add(item.cancelled);
+  for (unfinished_execution& item : unfinished_) {
+    if (shared_.now - item.since < unfinished_retention) {
+      add(item.content);
     }
   }
-  cancelled_.clear();
+  unfinished_.clear();
   const std::vector<calls::suspicion> suspicions =
       shared_.containment.on_death(running, shared_.now);
   shared_.totals.suspicions += suspicions.size();
@@ -487,10 +500,8 @@
                  {"interrupted", std::to_string(running.size())},
                  {"suspects", std::to_string(suspicions.size())},
                  {"requests", requests}});
-  shared_.registry.on_unreachable();
   shared_.is_report_due = true;
   shared_.is_suspicion_record_due = shared_.is_suspicion_record_due || !suspicions.empty();
-  refuse_queued("upstream died");
 }
 
 void upstream_gate::reply(const execution& ended, run_result result) {
@@ -570,10 +581,7 @@
     record_silence(value);
   }
   tokens_by_attempt_.erase(value.attempt);
-  cancelled_.push_back({std::move(value), shared_.now});
-  if (cancelled_.size() > max_cancelled) {
-    cancelled_.pop_front();
-  }
+  remember_unfinished(std::move(value));
   executions_.erase(token);
   queue_.release(std::nullopt);
   start_queued();
@@ -626,6 +634,12 @@
                    {"cold_ms", std::to_string(to_milliseconds(value.content.cold_for))},
                    {"sequence", std::to_string(upstream.sequence)}});
   }
+  if (is_new && previous && previous->state == upstream_lifecycle::ready && has_unfinished()) {
+    const upstream_incarnation former{previous->instance_id, previous->started_ms};
+    if (former != died_) {
+      on_upstream_died(former); // and has started again before a probe could tell
+    }
+  }
   if (is_new) {
     failed_share_ = 0;
     route_means_.clear();
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -49,7 +49,7 @@
   void on_operator_records();
   void on_tick();
 
-  bool is_idle() const { return executions_.empty(); }
+  bool is_idle() const { return executions_.empty() && interrupted_.empty(); }
   // Sets the fields of the report that describe the upstream.
   void describe(peer_report& report);
   // Returns the evidence for the running rollout of the local service; nothing if none is running.
@@ -99,9 +99,11 @@
   void hold_interrupted(execution ended, run_result result);
   // Finds out whether the upstream still accepts connections.
   void probe();
-  bool has_recent_cancellation() const;
-  // Attributes the death of the upstream to the requests that it was executing.
-  void on_upstream_died();
+  bool has_unfinished() const;
+  // Attributes the death of an upstream to the requests that it was executing.
+  void on_upstream_died(const upstream_incarnation& died);
+  // The upstream may go on with the execution, or may have died with it.
+  void remember_unfinished(execution item);
   // Returns what this daemon or the sender of the request knows of it.
   calls::suspicion suspicion_of(const run_request& request);
   // Clears the suspicion of a request that the upstream has answered.
@@ -140,12 +142,12 @@
   std::vector<interruption> interrupted_; // until the probe of the upstream is over
   bool is_probing_ = false;
   std::optional<upstream_incarnation> died_; // the upstream that was last found dead
-  // Executions that were cancelled a short time ago; the upstream may go on with them.
-  struct cancellation {
-    execution cancelled;
-    time_point at{};
+  // Executions that were cancelled or interrupted a short time ago.
+  struct unfinished_execution {
+    execution content;
+    time_point since{};
   };
-  std::deque<cancellation> cancelled_;
+  std::deque<unfinished_execution> unfinished_; // oldest first
   std::optional<std::uint64_t> isolated_token_; // isolated suspect that is queued or running
   std::deque<std::uint64_t> isolated_waiting_;  // tokens of those that wait for it
   std::map<std::string, double> route_means_;   // mean latency in microseconds, by route
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -42,6 +42,8 @@
 constexpr std::chrono::milliseconds sweep_period{100};
 constexpr std::chrono::milliseconds peer_connect_timeout{250};
 constexpr std::chrono::milliseconds upstream_connect_timeout{300};
+// Requests that were interrupted are answered at the latest after this time.
+constexpr std::chrono::milliseconds upstream_probe_timeout{100};
 // A connection that was idle for longer may be about to be closed by its peer, so a request that
 // may execute only once is sent on a new connection.
 constexpr std::chrono::milliseconds non_idempotent_max_idle{1500};
@@ -277,7 +279,7 @@
 
   void probe_upstream() {
     upstream_client.connect(
-        settings.upstream, upstream_connect_timeout, [this](http::connect_outcome outcome) {
+        settings.upstream, upstream_probe_timeout, [this](http::connect_outcome outcome) {
           handle(gateway::upstream_probed{
               outcome == http::connect_outcome::connected ? gateway::probe_outcome::reachable
               : outcome == http::connect_outcome::refused ? gateway::probe_outcome::refused
