A daemon's record of suspicions keeps what it has read; unfinished executions keep no bodies

It records the suspicions with the most deaths of all that it knows, 32 at most. (containment::a_record_that_a_new_process_writes, new) - Cancelled executions were kept for attribution with their whole messages, up to 32 bodies of up to 64 MB. Only the fingerprint is kept. - A router whose retry followed a lost peer looked at the suspicion that it had when the request came. It looks again before a retry.

--- a/src/arbutuslb/core/gateway/crash_containment.cc
+++ b/src/arbutuslb/core/gateway/crash_containment.cc
@@ -17,7 +17,12 @@
 // Bounds the size of a report.
 constexpr std::size_t max_reported = 24;
 // Bounds the record of a daemon in the store.
-constexpr std::size_t max_recorded = 64;
+constexpr std::size_t max_recorded = 32;
+
+bool is_more_important(const calls::suspicion& left, const calls::suspicion& right) {
+  return std::tuple(left.deaths, left.last_death, left.fingerprint) >
+         std::tuple(right.deaths, right.last_death, right.fingerprint);
+}
 
 calls::poison_policy containment_policy() {
   calls::poison_policy policy;
@@ -54,11 +59,6 @@
   for (const calls::suspicion& suspect : attributed) {
     index(suspect);
     note_change(suspect.fingerprint, now);
-    std::erase(own_deaths_, suspect.fingerprint);
-    own_deaths_.push_back(suspect.fingerprint);
-  }
-  while (own_deaths_.size() > max_recorded) {
-    own_deaths_.pop_front();
   }
   return attributed;
 }
@@ -123,10 +123,6 @@
       reported.push_back(known);
     }
   }
-  const auto is_more_important = [](const calls::suspicion& left, const calls::suspicion& right) {
-    return std::tuple(left.deaths, left.last_death, left.fingerprint) >
-           std::tuple(right.deaths, right.last_death, right.fingerprint);
-  };
   std::sort(reported.begin(), reported.end(), is_more_important);
   reported.erase(std::unique(reported.begin(), reported.end()), reported.end());
   if (reported.size() > max_reported) {
@@ -138,9 +134,13 @@
 
 std::vector<calls::suspicion> crash_containment::to_record(time_point now) const {
   std::vector<calls::suspicion> recorded;
-  for (const std::uint64_t fingerprint : own_deaths_) {
-    recorded.push_back(registry_.find(fingerprint, now));
+  for (const auto& [fingerprint, entry] : registry_.entries()) {
+    if (registry_.is_suspect(fingerprint, now)) {
+      recorded.push_back(entry);
+    }
   }
+  std::sort(recorded.begin(), recorded.end(), is_more_important);
+  recorded.resize(std::min(recorded.size(), max_recorded));
   return recorded;
 }
 
--- a/src/arbutuslb/core/gateway/crash_containment.h
+++ b/src/arbutuslb/core/gateway/crash_containment.h
@@ -56,8 +56,8 @@
   // Returns the suspicions for the next report of this daemon: the isolated and refused suspects,
   // and what has changed here lately. Bounded.
   std::vector<calls::suspicion> to_report(time_point now);
-  // Returns what is to be recorded in the store: the newest suspicions that follow from deaths of
-  // the local upstream. Bounded.
+  // Returns what is to be recorded in the store: the suspicions with the most deaths, of these the
+  // newest. Bounded.
   std::vector<calls::suspicion> to_record(time_point now) const;
 
   const calls::poison_registry& registry() const noexcept { return registry_; }
@@ -76,8 +76,7 @@
     std::uint64_t fingerprint = 0;
     time_point at{};
   };
-  std::deque<change> changes_;           // made by this daemon, oldest first
-  std::deque<std::uint64_t> own_deaths_; // fingerprints, oldest first
+  std::deque<change> changes_; // made by this daemon, oldest first
   std::uint64_t omitted_ = 0;
 };
 
--- a/src/arbutuslb/core/gateway/crash_containment_test.cc
+++ b/src/arbutuslb/core/gateway/crash_containment_test.cc
@@ -382,6 +382,18 @@
   const arbutuslb::core::time_point now{std::chrono::hours{24}};
   cr_assert_eq(containment.on_death(running, now).size(), 200);
   cr_assert_leq(containment.to_report(now).size(), 24);
-  cr_assert_leq(containment.to_record(now).size(), 64);
+  cr_assert_leq(containment.to_record(now).size(), 32);
   cr_assert_gt(containment.omitted(), 0);
 }
+
+Test(containment, a_record_that_a_new_process_writes_keeps_what_it_has_read) {
+  const arbutuslb::core::time_point now{std::chrono::hours{24}};
+  gateway::crash_containment former;
+  former.on_death({{7}}, now);
+  gateway::crash_containment restarted;
+  for (const arbutuslb::core::calls::suspicion& suspect : former.to_record(now)) {
+    restarted.merge(suspect, now);
+  }
+  restarted.on_death({{8}}, now + 1s);
+  cr_assert_eq(restarted.to_record(now + 1s).size(), 2);
+}
--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -184,8 +184,8 @@
 struct record_departure {
   upstream_incarnation departed;
 };
-// Records durably which requests this daemon's upstream was executing when it died. Replaces its
-// earlier record. Answered by one `suspicions_recorded`.
+// Records durably which requests were in execution when upstreams died. Replaces the earlier record
+// of this daemon. Answered by one `suspicions_recorded`.
 struct record_suspicions {
   std::vector<calls::suspicion> suspicions;
 };
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -214,10 +214,7 @@
   if (end.result.notice) {
     shared_.directory.on_notice(pending.host, pending.upstream, *end.result.notice);
   }
-  if (end.result.suspicion.fingerprint != 0) {
-    shared_.containment.merge(end.result.suspicion, shared_.now);
-    pending.suspicion = shared_.containment.find(end.result.suspicion.fingerprint, shared_.now);
-  }
+  shared_.containment.merge(end.result.suspicion, shared_.now);
   pending.last_result = end.result;
   if (end.result.reached_upstream) {
     ++pending.upstreams_reached;
@@ -229,6 +226,7 @@
 }
 
 void request_router::retry_or_finish(pending_call pending) {
+  pending.suspicion = shared_.containment.find(pending.content, shared_.now);
   const bool is_failure = pending.last_result.outcome != run_outcome::answered ||
                           pending.last_result.answer.status >= first_error_status;
   if (!is_failure || !is_retry_allowed(pending)) {
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -385,6 +385,12 @@
   }
 }
 
+void upstream_gate::identify(execution& item) {
+  if (item.suspicion.fingerprint == 0) {
+    item.suspicion.fingerprint = fingerprint_of(item.request.content);
+  }
+}
+
 void upstream_gate::clear_suspicion(const execution& answered) {
   const std::optional<calls::suspicion> cleared =
       shared_.containment.on_answer(answered.request.content, shared_.now);
@@ -418,6 +424,8 @@
 }
 
 void upstream_gate::remember_unfinished(execution item) {
+  identify(item);
+  item.request.content.message = {}; // its body may be large
   unfinished_.push_back({std::move(item), shared_.now});
   if (unfinished_.size() > max_unfinished) {
     unfinished_.pop_front();
@@ -464,9 +472,7 @@
     if (item.attempt == 0 || item.upstream() != died_) {
       return;
     }
-    if (item.suspicion.fingerprint == 0) {
-      item.suspicion.fingerprint = fingerprint_of(item.request.content);
-    }
+    identify(item);
     if (item.request.is_retry) {
       // Deaths under one attempt of a caller form a chain, even if its executions overlapped.
       item.suspicion = shared_.containment.find(item.suspicion.fingerprint, shared_.now);
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -106,6 +106,8 @@
   void remember_unfinished(execution item);
   // Returns what this daemon or the sender of the request knows of it.
   calls::suspicion suspicion_of(const run_request& request);
+  // Sets the fingerprint of the execution's request.
+  static void identify(execution& item);
   // Clears the suspicion of a request that the upstream has answered.
   void clear_suspicion(const execution& answered);
   // Submits the request to the queue: starts, queues or refuses it.
