Tests of the gate: isolated suspects run one at a time, also when they were queued

Three tests of a single gate: two isolated suspects of different fingerprints run one after the other while a suspect of one death runs beside them; two requests that become isolated while they are queued start one at a time; one that is refused meanwhile does not start. No change of the product.

--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -3,6 +3,7 @@
 // mechanism that it names.
 
 #include "arbutuslb/core/gateway/gateway_core.h"
+#include "arbutuslb/core/gateway/request_fingerprint.h"
 
 #include <criterion/criterion.h>
 #include <memory>
@@ -300,3 +301,96 @@
   cr_assert_eq(daemon.core.totals().upstream_deaths, 1);
   cr_assert_eq(daemon.core.totals().suspicions, 1);
 }
+
+namespace {
+
+// Sends a request with its own target, of which the sender knows this many deaths.
+std::vector<gateway::action> run_suspect(tested_daemon& daemon, std::uint64_t number,
+                                         std::uint32_t deaths) {
+  gateway::run_requested request;
+  request.token = number;
+  request.content.content.attempt_id = "s-" + std::to_string(number);
+  request.content.content.message.target = "/menu/" + std::to_string(number);
+  request.content.instance_id = instance;
+  request.content.route = "r-menu";
+  request.content.time_left = 1000ms;
+  request.content.target_time_left = 300ms;
+  if (deaths > 0) {
+    request.content.suspicion = {gateway::fingerprint_of(request.content.content), 0, deaths,
+                                 start};
+  }
+  return daemon.core.handle(request, start);
+}
+
+gateway::attempt_completed answered(std::uint64_t attempt) {
+  gateway::attempt_completed completed{attempt, {}};
+  completed.result.outcome = gateway::run_outcome::answered;
+  completed.result.answer.status = 200;
+  return completed;
+}
+
+} // namespace
+
+Test(gate, isolated_suspects_run_one_at_a_time) {
+  tested_daemon daemon;
+  const std::vector<gateway::action> first = run_suspect(daemon, 1, 2);
+  cr_assert_neq(find<gateway::send_to_upstream>(first), nullptr);
+  cr_assert_eq(find<gateway::send_to_upstream>(run_suspect(daemon, 2, 2)), nullptr);
+  cr_assert_neq(find<gateway::send_to_upstream>(run_suspect(daemon, 3, 1)), nullptr);
+  const std::vector<gateway::action> next =
+      daemon.core.handle(answered(find<gateway::send_to_upstream>(first)->attempt), start + 10ms);
+  const gateway::send_to_upstream* second = find<gateway::send_to_upstream>(next);
+  cr_assert_neq(second, nullptr);
+  cr_assert_eq(second->request.content.attempt_id, "s-2");
+}
+
+Test(gate, requests_that_are_isolated_while_they_are_queued_start_one_at_a_time) {
+  tested_daemon daemon;
+  std::vector<std::uint64_t> running;
+  for (std::uint64_t number = 1; number <= 4; ++number) { // all slots
+    const std::vector<gateway::action> actions = run_suspect(daemon, number, 0);
+    running.push_back(find<gateway::send_to_upstream>(actions)->attempt);
+  }
+  gateway::peer_report report;
+  report.host = "10.0.0.2";
+  report.process_epoch = 1;
+  report.sequence = 1;
+  for (const std::uint64_t number : {5, 6}) {
+    cr_assert_eq(find<gateway::send_to_upstream>(run_suspect(daemon, number, 0)), nullptr);
+    gateway::call content;
+    content.message.target = "/menu/" + std::to_string(number);
+    report.suspicions.push_back({gateway::fingerprint_of(content), 0, 2, start});
+  }
+  daemon.core.handle(gateway::reports_received{report.host, {{{report, {}}}, {}}}, start);
+  int sent = 0;
+  for (const std::uint64_t attempt : running) {
+    const std::vector<gateway::action> actions =
+        daemon.core.handle(answered(attempt), start + 10ms);
+    sent += find<gateway::send_to_upstream>(actions) != nullptr ? 1 : 0;
+  }
+  cr_assert_eq(sent, 1);
+}
+
+Test(gate, a_request_that_is_refused_while_it_is_queued_does_not_start) {
+  tested_daemon daemon;
+  std::vector<std::uint64_t> running;
+  for (std::uint64_t number = 1; number <= 4; ++number) { // all slots
+    const std::vector<gateway::action> actions = run_suspect(daemon, number, 0);
+    running.push_back(find<gateway::send_to_upstream>(actions)->attempt);
+  }
+  run_suspect(daemon, 5, 0);
+  run_suspect(daemon, 5 + 100, 3); // another request: known elsewhere to crash, refused at once
+  gateway::peer_report report;
+  report.host = "10.0.0.2";
+  report.process_epoch = 1;
+  report.sequence = 1;
+  gateway::call content;
+  content.message.target = "/menu/5";
+  report.suspicions.push_back({gateway::fingerprint_of(content), 0, 3, start});
+  daemon.core.handle(gateway::reports_received{report.host, {{{report, {}}}, {}}}, start);
+  const std::vector<gateway::action> actions =
+      daemon.core.handle(answered(running[0]), start + 10ms);
+  cr_assert_eq(find<gateway::send_to_upstream>(actions), nullptr);
+  cr_assert_eq(daemon.core.totals().runs, 4);
+  cr_assert_eq(daemon.core.totals().runs_refused, 2);
+}
