--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -394,3 +394,17 @@
   cr_assert_eq(daemon.core.totals().runs, 4);
   cr_assert_eq(daemon.core.totals().runs_refused, 2);
 }
+
+Test(gate, an_upstream_that_ends_after_it_has_announced_its_departure_has_not_died) {
+  tested_daemon daemon;
+  const std::vector<gateway::action> started = daemon.run();
+  gateway::heartbeat leaving = heartbeat();
+  leaving.sequence = 2;
+  leaving.state = gateway::upstream_lifecycle::draining;
+  daemon.core.handle(gateway::heartbeat_received{2, leaving}, start);
+  gateway::attempt_completed broken{find<gateway::send_to_upstream>(started)->attempt, {}};
+  broken.is_broken = true;
+  daemon.core.handle(broken, start);
+  daemon.core.handle(gateway::upstream_probed{gateway::probe_outcome::refused}, start);
+  cr_assert_eq(daemon.core.totals().upstream_deaths, 0);
+}
