--- a/src/arbutuslb/core/gateway/crash_containment_test.cc
+++ b/src/arbutuslb/core/gateway/crash_containment_test.cc
@@ -317,9 +317,13 @@
   mesh.send_ordinary(3s);
   mesh.fleet.restore_store(1);
   mesh.send_ordinary(3s);
+  mesh.fleet.datagram_loss = 1; // so that only the store remembers
+  mesh.fleet.run_for(100ms);
   for (const std::size_t daemon : mesh.daemons) {
     mesh.fleet.restart(daemon);
   }
+  mesh.fleet.run_for(100ms);
+  mesh.fleet.datagram_loss = 0;
   mesh.fleet.run_for(3s);
   mesh.repeat(crashing, 20, 300ms);
   cr_assert_leq(mesh.deaths_by(crashing), max_deaths);
