--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -157,7 +157,9 @@
   std::vector<std::uint64_t> departure_tokens_; // heartbeats and deregistrations to acknowledge
   time_point departure_started_{};
   time_point next_departure_record_{};
-  duration departure_retry_delay_{};
+  // Delay before a departure is submitted again; it doubles with each refusal in a row.
+  static constexpr std::chrono::milliseconds first_departure_retry_delay{200};
+  duration departure_retry_delay_ = first_departure_retry_delay;
   bool is_recording_departure_ = false;
   std::optional<std::uint64_t> departure_era_; // era of the store that has the departure
   upstream_notice last_notice_;                // in the newest answer of the upstream
