--- a/src/arbutuslb/core/gateway/crash_containment.h
+++ b/src/arbutuslb/core/gateway/crash_containment.h
@@ -28,7 +28,11 @@
 inline constexpr const char* poison_reason = "request has crashed upstreams";
 inline constexpr std::chrono::seconds poison_retry_after{60};
 
-enum class crash_verdict : std::uint8_t { run, isolate, refuse };
+enum class crash_verdict : std::uint8_t {
+  run,
+  isolate, // without retries, at the gate that the fingerprint is assigned to, one at a time
+  refuse
+};
 
 // Not thread-safe.
 class crash_containment {
@@ -51,6 +55,7 @@
   std::optional<calls::suspicion> on_answer(const call& request, time_point now);
   // Takes over what another daemon knows. Returns true if it is news.
   bool merge(calls::suspicion value, time_point now);
+  // Removes what has expired. Call it from time to time.
   void evict(time_point now);
 
   // Returns the suspicions for the next report of this daemon: the isolated and refused suspects,
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -6,6 +6,8 @@
 // - A cold upstream receives requests at no more than its rate limit, and one that states a limit
 //   in its answers at no more than that.
 // - A request is accepted only if the upstream is the instance that the request was sent to.
+// - A request that has crashed upstreams runs alone among its kind, or is refused
+//   (crash_containment.h).
 // - No request is accepted without a configuration, while the daemon is stopping, after the
 //   upstream has started to depart, while its failure domain is withdrawn, or after its version was
 //   rolled back.
