A rollout logs why its share does not rise

Change: `rollout_waits` with the reason of the judge, when it changes, once a second and step at most. No decision changes.

Ruled out: a shortage of capacity of the new version (not among the reasons logged at 400 permille).

Conclusion: a route with little traffic holds the share where a fault does most harm.

--- a/src/arbutuslb/core/gateway/rollout_conductor.cc
+++ b/src/arbutuslb/core/gateway/rollout_conductor.cc
@@ -16,6 +16,7 @@
 // Requests at the old version complete within this time after the new one has all traffic.
 constexpr std::chrono::milliseconds drain_time{1200};
 constexpr std::chrono::milliseconds record_retry_delay{500};
+constexpr std::chrono::seconds wait_log_period{1};
 constexpr int full_share_permille = 1000;
 // Upstreams of one service differ in speed; only a ratio beyond their spread indicates a fault.
 constexpr double max_latency_ratio = 3.0;
@@ -95,6 +96,8 @@
   if (is_higher) {
     value.share_permille = share_permille;
     value.last_step_at = shared_.now;
+    value.wait_reason.clear();
+    value.wait_logged_at = {};
   }
   shared_.is_local_report_due = true;
   shared_.write(engine::severity::info, "rollout_step",
@@ -213,6 +216,7 @@
       moves::judge_move(move, value.evidence, 0, value.last_step_at, shared_.now);
   switch (verdict.kind) {
   case moves::judgement_kind::wait:
+    note_wait(value, verdict.reason);
     return;
   case moves::judgement_kind::step:
     advance(value, verdict.share_permille, rollout_phase::running);
@@ -231,6 +235,19 @@
                  {"reason", verdict.reason}});
 }
 
+void rollout_conductor::note_wait(rollout& value, const std::string& reason) {
+  if (value.wait_reason == reason || shared_.now - value.wait_logged_at < wait_log_period) {
+    return;
+  }
+  value.wait_reason = reason;
+  value.wait_logged_at = shared_.now;
+  shared_.write(engine::severity::info, "rollout_waits",
+                {{"service", value.order.service},
+                 {"id", std::to_string(value.id)},
+                 {"share_permille", std::to_string(value.share_permille)},
+                 {"reason", reason}});
+}
+
 void rollout_conductor::write_outcome(rollout& value) {
   const bool is_settled = value.phase == rollout_phase::rolled_back ||
                           shared_.now - value.phase_changed_at >= drain_time;
--- a/src/arbutuslb/core/gateway/rollout_conductor.h
+++ b/src/arbutuslb/core/gateway/rollout_conductor.h
@@ -39,6 +39,8 @@
     bool is_recording = false;
     time_point next_record_at{}; // the outcome is not recorded earlier
     double share_credit = 0;     // permille accumulated for the next request to the new version
+    std::string wait_reason;     // why the share does not rise, as last logged
+    time_point wait_logged_at{};
     moves::evidence_pool evidence;
 
     bool has_id(std::uint64_t value) const { return value == id || value == previous_id; }
@@ -64,6 +66,8 @@
   // Applies a later phase or a higher share. Returns true if the state changed.
   bool advance(rollout& value, int share_permille, rollout_phase phase);
   void evaluate(rollout& value);
+  // Logs why the share does not rise if the reason has changed, once a second at most.
+  void note_wait(rollout& value, const std::string& reason);
   void write_outcome(rollout& value);
   bool is_recorded(const rollout& value) const { return value.recorded_era == era_; }
   // What was read and recorded in an earlier era no longer counts.
