The simulated fleet runs for exactly the time that a test asks for

Cause: gateway_fleet::run_for advanced by whole ticks of 20 ms, so that a step of 10 ms took 20 ms. Tests that step by 10 ms (crash_containment_test and others) played half of the rate and twice the time that they state.

Change: ticks have their own schedule; run_for ends between two of them.

No change of the product.

--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -119,6 +119,7 @@
   };
   struct performer;
 
+  void run_timers(core::time_point end);
   void handle(std::size_t index, core::gateway::event value);
   void after(core::duration delay, std::function<void()> callback);
   std::size_t index_of(const std::string& host) const;
@@ -134,6 +135,7 @@
   void deliver_newest(std::size_t index);
 
   core::time_point now_;
+  core::time_point next_tick_; // of all daemons
   core::random_source random_;
   std::vector<node> nodes_;
   std::vector<core::gateway::operator_record> log_;
