A quiet route no longer holds a rollout at a high share

Cause: from 400 permille on, the judge waited until the new version had 30 calls on each route with traffic. A route with a few calls a second cannot give them, so the share stayed at 400 permille until the time was over: long enough for a weak fault to reach too many calls, and no rise to the share at which it shows clearly.

Change: calls on each route are required for the step to 400 permille only, and only while the remaining steps still fit before the deadline; those steps include the delay of reports and evaluations. Faults of a quiet route are still looked for at every evaluation.

Ruled out: a shortage of capacity as the reason of the hold (rollout_waits names the route). Not done: an intermediate share between 400 and 900 permille; the deadlines of 13 s have no room for another step.

--- a/src/arbutuslb/core/gateway/rollout_test.cc
+++ b/src/arbutuslb/core/gateway/rollout_test.cc
@@ -8,10 +8,20 @@
 
 namespace {
 
-// A rollout of `menu` to v2 on daemons 1 and 5, under 100 requests a second.
+constexpr std::size_t new_daemons[] = {1, 5};
+
+// A rollout of `menu` to v2 on daemons 1 and 5, under 200 requests a second of which two have a
+// route of their own.
 struct rollout_play {
   explicit rollout_play(std::uint64_t seed = 1) : fixture(seed) {
-    for (const std::size_t at : {std::size_t{1}, std::size_t{5}}) {
+    auto next = configuration(2);
+    next->routes["shop.example"]["/quiet/"] = route("r-quiet", "/quiet/", "menu", true);
+    fixture.fleet.publish(next);
+    for (const std::size_t at : menu_daemons) {
+      fixture.fleet.upstream(at).slots = 18;
+      fixture.fleet.upstream(at).work = 80ms;
+    }
+    for (const std::size_t at : new_daemons) {
       fixture.fleet.upstream(at).version = "v2";
       fixture.fleet.restart(at);
     }
@@ -22,8 +32,10 @@
     fixture.fleet.order("rollout/menu", gateway::rollout_spec{"menu", "v2", time_allowed});
     const std::size_t before = fixture.fleet.runs.size();
     for (arbutuslb::core::duration elapsed{}; elapsed < time_allowed; elapsed += 10ms) {
-      const std::size_t daemon = sent_++ % 8;
-      fixture.fleet.call(daemon, "shop.example", "/menu/1");
+      for (int i = 0; i < 2; ++i) {
+        const char* target = sent_ % 33 == 32 ? "/quiet/1" : "/menu/1";
+        fixture.fleet.call(sent_++ % 8, "shop.example", target);
+      }
       fixture.fleet.run_for(10ms);
     }
     total = fixture.fleet.runs.size() - before;
@@ -57,3 +69,27 @@
   cr_assert_geq(play.count_log("rollout_waits"), 5);  // one for each step
   cr_assert_leq(play.count_log("rollout_waits"), 30); // no more than one a second and step
 }
+
+Test(rollout, a_version_that_fails_under_load_gets_a_small_part_of_the_requests) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    for (std::size_t errors_above = 4; errors_above <= 8; ++errors_above) {
+      rollout_play play(seed);
+      for (const std::size_t at : new_daemons) {
+        play.fixture.fleet.upstream(at).error_share = 0.5;
+        play.fixture.fleet.upstream(at).errors_above = errors_above;
+      }
+      play.run();
+      cr_assert(play.has_outcome(gateway::rollout_phase::rolled_back));
+      cr_assert_leq(play.exposed, play.total / 10 + 50, "seed %d: %d of %d", static_cast<int>(seed),
+                    static_cast<int>(play.exposed), static_cast<int>(play.total));
+    }
+  }
+}
+
+Test(rollout, a_sound_version_with_a_quiet_route_is_completed_in_time) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    rollout_play play(seed);
+    play.run();
+    cr_assert(play.has_outcome(gateway::rollout_phase::completed));
+  }
+}
--- a/src/arbutuslb/core/moves/judge.cc
+++ b/src/arbutuslb/core/moves/judge.cc
@@ -212,30 +212,6 @@
   return fault.empty() ? death_fault(value, pool, poison_requests) : fault;
 }
 
-// Returns a route with too few calls of the new version, "any route" if there are too few calls at
-// the current share on all routes together, or an empty string.
-std::string route_without_evidence(const move& value, const evidence_pool& pool) {
-  std::uint64_t calls_at_step = 0;
-  for (const auto& [route, cell] : pool.totals(value.to, comparison_share(value))) {
-    calls_at_step += cell.calls;
-  }
-  if (calls_at_step < min_step_calls) {
-    return "any route";
-  }
-  if (value.share_permille < route_evidence_share_permille) {
-    return {};
-  }
-  const totals_by_route new_totals = pool.totals(value.to, 0);
-  for (const auto& [route, cell] : pool.totals(value.from, 0)) {
-    const totals_by_route::const_iterator found = new_totals.find(route);
-    const std::uint64_t calls = found == new_totals.end() ? 0 : found->second.calls;
-    if (cell.calls >= min_route_calls && calls < min_step_calls) {
-      return route;
-    }
-  }
-  return {};
-}
-
 int next_share(int share) {
   for (const int step : share_steps_permille) {
     if (step > share) {
@@ -262,17 +238,50 @@
                     max_first_share_permille);
 }
 
-// Returns the total minimum time of the steps from `share` on.
+// Returns the time that the steps from `share` on take at least.
 duration remaining_time_from(const move& value, int share) {
   duration needed{};
   for (const int step : share_steps_permille) {
     if (step >= share) {
       needed += step == observation_share_permille ? observation_time(value) : step_time(value);
+      needed += evidence_delay;
     }
   }
   return needed;
 }
 
+// Returns a route that has traffic but fewer than `min_step_calls` of the new version, or an empty
+// string.
+std::string route_with_few_calls(const move& value, const evidence_pool& pool) {
+  const totals_by_route new_totals = pool.totals(value.to, 0);
+  for (const auto& [route, cell] : pool.totals(value.from, 0)) {
+    const totals_by_route::const_iterator found = new_totals.find(route);
+    const std::uint64_t calls = found == new_totals.end() ? 0 : found->second.calls;
+    if (cell.calls >= min_route_calls && calls < min_step_calls) {
+      return route;
+    }
+  }
+  return {};
+}
+
+// Returns the route for whose calls the next step waits, "any route" if there are too few calls at
+// the current share on all routes together, or an empty string.
+std::string route_without_evidence(const move& value, const evidence_pool& pool, time_point now) {
+  std::uint64_t calls_at_step = 0;
+  for (const auto& [route, cell] : pool.totals(value.to, comparison_share(value))) {
+    calls_at_step += cell.calls;
+  }
+  if (calls_at_step < min_step_calls) {
+    return "any route";
+  }
+  const int share = next_share(value.share_permille);
+  const bool is_step_to_high_share =
+      value.share_permille < high_share_permille && share >= high_share_permille;
+  const bool has_time_to_wait = now + remaining_time_from(value, share) < value.deadline;
+  return is_step_to_high_share && has_time_to_wait ? route_with_few_calls(value, pool)
+                                                   : std::string{};
+}
+
 // Returns why the new version lacks the capacity for `share`, or an empty string.
 std::string capacity_shortage(const move& value, const evidence_pool& pool, int share) {
   const version_capacity new_capacity = pool.capacity_of(value.to);
@@ -342,7 +351,8 @@
   const bool is_observation_step = value.share_permille == observation_share_permille;
   const bool is_full_share = value.share_permille == share_steps_permille.back();
   const duration required_time = is_observation_step ? observation_time(value) : step_time(value);
-  const std::string route_lacking_calls = is_full_share ? "" : route_without_evidence(value, pool);
+  const std::string route_lacking_calls =
+      is_full_share ? "" : route_without_evidence(value, pool, now);
   if (now - step_started_at >= required_time && route_lacking_calls.empty()) {
     if (is_full_share) {
       return {judgement_kind::done, 0, "full share held without a fault", now > value.deadline};
--- a/src/arbutuslb/core/moves/judge.h
+++ b/src/arbutuslb/core/moves/judge.h
@@ -3,9 +3,10 @@
 // The judge is a pure function of the move, the evidence and the time. More errors or a higher
 // latency than the old version's are a fault if the difference is statistically significant on some
 // route: at the current share, over the whole move, or in the recent window. Unexplained deaths of
-// upstreams are a fault too. A higher share requires a minimum time and enough calls on each route
-// with traffic, and may not exceed the capacity of the new version. After its deadline, a move
-// below full share is rolled back unless its next step is due.
+// upstreams are a fault too. A higher share requires a minimum time and enough calls, and may not
+// exceed the capacity of the new version. A route with too few calls holds the share only while it
+// is low and only while time is left. After its deadline, a move below full share is rolled back
+// unless its next step is due.
 //
 //   judgement verdict = judge_move(move, pool, poison_requests, step_started_at, now);
 #pragma once
@@ -23,9 +24,13 @@
 inline constexpr int observation_share_permille = 900;
 // Calls that the new version must have executed at a step before the next step.
 inline constexpr std::uint64_t min_step_calls = 30;
-// From this share on, the next step also requires `min_step_calls` in the whole move on each route
-// with traffic.
-inline constexpr int route_evidence_share_permille = 400;
+// At this share and above, a fault reaches many calls before it is found. The step to it also
+// requires `min_step_calls` in the whole move on each route with traffic, as long as the move can
+// still be completed by its deadline. Above it, no route holds the share.
+inline constexpr int high_share_permille = 400;
+// Time between the end of a step's minimum time and the next step: evidence is reported and judged
+// periodically.
+inline constexpr std::chrono::milliseconds evidence_delay{500};
 // A route on which the old version has executed fewer calls counts as a route without traffic. With
 // fewer calls of either version, latencies are not compared.
 inline constexpr std::uint64_t min_route_calls = 10;
--- a/src/arbutuslb/core/moves/judge_test.cc
+++ b/src/arbutuslb/core/moves/judge_test.cc
@@ -125,6 +125,48 @@
   cr_assert_eq(judge_move(menu_move(900), pool, 0, start, later).kind, judgement_kind::brake);
 }
 
+namespace {
+
+// Ten minutes' worth of ordinary traffic on one route and a route with one call a minute.
+evidence_pool pool_with_a_quiet_route(int share) {
+  evidence_pool pool;
+  protocol::evidence_report old_report = report_of("v1", share, 3000, 10, 4);
+  protocol::evidence_report new_report = report_of("v2", share, 600, 2, 4);
+  for (protocol::evidence_report* report : {&old_report, &new_report}) {
+    protocol::evidence_cell quiet;
+    quiet.route = "quiet";
+    quiet.share_permille = share;
+    quiet.calls = report == &old_report ? 12 : 1;
+    quiet.latency[4] = quiet.calls;
+    report->cells.push_back(quiet);
+  }
+  pool.merge({1}, {1}, old_report);
+  pool.merge({2}, {1}, new_report);
+  return pool;
+}
+
+} // namespace
+
+Test(judge, a_route_with_little_traffic_does_not_hold_the_share_where_a_fault_reaches_many_calls) {
+  for (const int share : {400, 900}) {
+    const evidence_pool pool = pool_with_a_quiet_route(share);
+    const judgement verdict =
+        judge_move(menu_move(share), pool, 0, start, start + std::chrono::seconds{40});
+    cr_assert_eq(verdict.kind, judgement_kind::step);
+  }
+}
+
+Test(judge, a_route_with_little_traffic_holds_a_small_share_while_the_move_can_still_end_in_time) {
+  const evidence_pool pool = pool_with_a_quiet_route(150);
+  const judgement early =
+      judge_move(menu_move(150), pool, 0, start, start + std::chrono::seconds{40});
+  cr_assert_eq(early.kind, judgement_kind::wait);
+  cr_assert(early.reason.find("quiet") != std::string::npos);
+  const judgement late =
+      judge_move(menu_move(150), pool, 0, start, start + std::chrono::seconds{70});
+  cr_assert_eq(late.kind, judgement_kind::step);
+}
+
 Test(judge, deaths_caused_by_known_poison_requests_do_not_count) {
   evidence_pool pool;
   protocol::evidence_report new_report = report_of("v2", 50, 500, 0, 4);
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -415,8 +415,9 @@
       upstream.loses_answers ? gateway::run_outcome::unknown : gateway::run_outcome::answered;
   constexpr int status_ok = 200;
   constexpr int status_error = 500;
+  const bool may_fail = running_now[index] > upstream.errors_above;
   completion.result.answer.status =
-      random_.fraction() < upstream.error_share ? status_error : status_ok;
+      may_fail && random_.fraction() < upstream.error_share ? status_error : status_ok;
   completion.result.answer.body = action.request.content.attempt_id;
   const std::uint64_t generation = nodes_[index].generation;
   const std::uint64_t upstream_generation = nodes_[index].upstream_generation;
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -21,13 +21,14 @@
 struct upstream_behaviour {
   core::duration work = std::chrono::milliseconds{20}; // execution time of a request
   std::string version = "v1";
-  int slots = 8;              // reported in heartbeats; not enforced
-  double error_share = 0;     // fraction of the answers with status 500
-  bool is_down = false;       // refuses connections and sends no heartbeats
-  bool loses_answers = false; // executes requests, but the answer is lost
-  bool sheds = false;         // refuses requests without executing them
-  int mute_above = 0;         // never answers a request beyond this many in flight; 0: no limit
-  core::duration cold_for{};  // remaining cold time, reported in heartbeats
+  int slots = 8;                // reported in heartbeats; not enforced
+  double error_share = 0;       // fraction of the answers with status 500
+  std::size_t errors_above = 0; // only while more than this many requests are running
+  bool is_down = false;         // refuses connections and sends no heartbeats
+  bool loses_answers = false;   // executes requests, but the answer is lost
+  bool sheds = false;           // refuses requests without executing them
+  int mute_above = 0;           // never answers a request beyond this many in flight; 0: no limit
+  core::duration cold_for{};    // remaining cold time, reported in heartbeats
   bool is_draining = false;
   core::gateway::upstream_notice notice; // in every answer
 };
