Copies of a crashing request that wait at its gate are not sent to another upstream

What callers saw: a request that kills its upstream only after some hundred milliseconds, and that comes at several daemons at once, ended more than three upstreams.

Cause: an isolated suspect is executed by one gate, one at a time. A copy that waited there for too long was refused, and its daemon then sent it to the next gate, which executed it beside the first one. The class: a refusal that means "not here now" was taken for "may be sent elsewhere", as for a full upstream.

Change: the gate says that the refused suspect was behind another one; its daemon then answers 503 with Retry-After, as for any request that was not executed.

Ruled out: refusing all retries of isolated suspects; one that was refused by a full or leaving upstream has not begun anywhere.

--- a/src/arbutuslb/core/gateway/crash_containment_test.cc
+++ b/src/arbutuslb/core/gateway/crash_containment_test.cc
@@ -109,6 +109,24 @@
   }
 }
 
+Test(containment, copies_that_wait_for_a_late_crash_are_not_sent_to_another_upstream) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    wide_mesh mesh(seed);
+    mesh.fleet.crashing_targets[crashing] = 600ms;
+    mesh.fleet.call(0, host, crashing);
+    mesh.send_ordinary(2s);
+    cr_assert_eq(mesh.deaths_by(crashing), 2);
+    for (int wave = 0; wave < 5; ++wave) {
+      for (const std::size_t daemon : mesh.daemons) {
+        mesh.fleet.call(daemon, host, crashing);
+      }
+      mesh.send_ordinary(1s);
+    }
+    cr_assert_leq(mesh.deaths_by(crashing), max_deaths, "seed %d: %d upstreams",
+                  static_cast<int>(seed), mesh.deaths_by(crashing));
+  }
+}
+
 Test(containment, a_refused_request_is_answered_at_once_and_truthfully) {
   wide_mesh mesh;
   mesh.repeat(crashing, 10, 300ms);
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -268,10 +268,12 @@
   if (pending.last_result.outcome != run_outcome::not_executed && !pending.route->is_idempotent) {
     return false;
   }
-  // The next execution of an isolated suspect is left to its caller, unless this one has not begun.
+  // The next execution of an isolated suspect is left to its caller, unless this one has not begun
+  // and no other one is going on.
   const crash_verdict verdict = shared_.containment.judge(pending.suspicion);
-  if (verdict == crash_verdict::refuse ||
-      (verdict == crash_verdict::isolate && pending.last_result.outcome == run_outcome::unknown)) {
+  const bool may_be_running =
+      pending.last_result.outcome == run_outcome::unknown || pending.last_result.is_behind_suspect;
+  if (verdict == crash_verdict::refuse || (verdict == crash_verdict::isolate && may_be_running)) {
     return false;
   }
   if (pending.may_have_executed && !pending.route->is_idempotent) {
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -74,7 +74,7 @@
   (is_local ? tokens_by_local_ : tokens_by_peer_)[reply_token] = token;
   executions_.emplace(token, std::move(incoming));
   if (verdict == crash_verdict::isolate) {
-    isolated_waiting_.push_back(token);
+    wait_for_isolated(token);
     start_isolated();
     return;
   }
@@ -119,10 +119,16 @@
   return shared_.containment.find(request.suspicion.fingerprint, shared_.now);
 }
 
+void upstream_gate::wait_for_isolated(std::uint64_t token) {
+  executions_.at(token).is_behind_suspect = true;
+  isolated_waiting_.push_back(token);
+}
+
 void upstream_gate::start_isolated() {
   while (!isolated_token_ && !isolated_waiting_.empty()) {
     const std::uint64_t token = isolated_waiting_.front();
     isolated_waiting_.pop_front();
+    executions_.at(token).is_behind_suspect = false;
     isolated_token_ = token;
     submit(token);
   }
@@ -229,7 +235,7 @@
   if (verdict == crash_verdict::isolate) {
     if (isolated_token_ && isolated_token_ != token) {
       queue_.release(std::nullopt);
-      isolated_waiting_.push_back(token);
+      wait_for_isolated(token);
       return;
     }
     isolated_token_ = token;
@@ -393,6 +399,7 @@
   result.outcome = run_outcome::not_executed;
   result.reason = reason;
   result.retry_after = std::max<duration>(retry_after, min_retry_after);
+  result.is_behind_suspect = refused.is_behind_suspect;
   shared_.write(engine::severity::info, "run_refused",
                 {{"id", refused.request.content.attempt_id},
                  {"route", refused.request.route},
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -70,7 +70,8 @@
     time_point start_by{};      // latest useful start
     calls::suspicion suspicion; // as known when it was started
     upstream_incarnation upstream() const { return {request.instance_id, upstream_started_ms}; }
-    bool is_abandoned = false; // the requester has disconnected; the result is not sent
+    bool is_abandoned = false;      // the requester has disconnected; the result is not sent
+    bool is_behind_suspect = false; // in `isolated_waiting_`
   };
 
   // Starts, queues or refuses the request.
@@ -118,6 +119,8 @@
   void withdraw(std::uint64_t token, const std::string& reason, duration retry_after);
   // Removes a request that is not running.
   void forget_execution(std::uint64_t token);
+  // Lets an isolated suspect wait for the one that is queued or running.
+  void wait_for_isolated(std::uint64_t token);
   // Submits the next isolated suspect if none is running.
   void start_isolated();
   void update_limits();
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -240,7 +240,9 @@
   cr_assert(wire::decode_run_request(wire::encode(request)).suspicion == suspect);
   gateway::run_result result;
   result.suspicion = suspect;
+  result.is_behind_suspect = true;
   cr_assert(wire::decode_run_result(wire::encode(result)).suspicion == suspect);
+  cr_assert(wire::decode_run_result(wire::encode(result)).is_behind_suspect);
   gateway::report_bundle bundle;
   bundle.reports.emplace_back();
   bundle.reports[0].content.suspicions = {suspect};
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -141,6 +141,7 @@
   if (value.suspicion.fingerprint != 0) {
     to_proto(value.suspicion, *out.mutable_suspicion());
   }
+  out.set_is_behind_suspect(value.is_behind_suspect);
   return out.SerializeAsString();
 }
 
@@ -169,6 +170,7 @@
   if (in.has_suspicion()) {
     value.suspicion = from_proto(in.suspicion());
   }
+  value.is_behind_suspect = in.is_behind_suspect();
   return value;
 }
 
