Copies of a suspect run one at a time from the first death on; upstreams that die at once count

What callers saw: when several callers sent a request that crashes its upstreams at the same time, it ended four to eight upstreams, not three.

Cause, in two parts. After the first death nothing changed for copies of the request: each daemon chose an upstream of its own for the next one, and each retry did. And deaths counted as a chain only: upstreams that died with copies of the request at about the same time counted as one death, so that evidence that was at hand did not isolate it.

Change: from the first death on, all daemons send a suspect to one gate, which executes one copy at a time; a request waits only for its own copies, and only until one is answered. A suspicion carries the chain and the hashes of up to three upstreams; both merge in any order. Deaths at the same time make the chain one longer, however many they are, so that a popular request is isolated and not refused when a domain's upstreams die at once. An isolated suspect is retried again if its execution is known to be over. Waiting suspects expire each at its own time.

Isolation of all suspects after one death; unrelated requests would wait for each other.

--- a/src/arbutuslb/core/calls/calls_test.cc
+++ b/src/arbutuslb/core/calls/calls_test.cc
@@ -94,11 +94,11 @@
 
 Test(poison_registry, second_death_refuses_only_the_request_common_to_both) {
   poison_registry registry;
-  registry.on_death({{1}, {2}, {3}}, now);
+  registry.on_death({{1}, {2}, {3}}, 0, now);
   cr_assert_not(registry.is_refused(1, now));
   registry.clear(2, now);
   registry.clear(3, now);
-  cr_assert_eq(registry.on_death({registry.find(1, now), {4}, {5}}, now).size(), 1U);
+  cr_assert_eq(registry.on_death({registry.find(1, now), {4}, {5}}, 0, now).size(), 1U);
   cr_assert(registry.is_refused(1, now));
   cr_assert_not(registry.is_suspect(4, now));
   cr_assert_not(registry.is_refused(1, now + poison_policy{}.base_refusal_time));
@@ -107,17 +107,31 @@
 Test(poison_registry, deaths_at_the_same_time_are_no_chain) {
   poison_registry registry({.deaths_before_isolation = 2, .deaths_before_refusal = 3});
   for (int i = 0; i < 5; ++i) {
-    registry.on_death({{1}, {2}}, now); // begun before any of these deaths was known
+    registry.on_death({{1}, {2}}, 0, now); // begun before any of these deaths was known
   }
   cr_assert_eq(registry.deaths_of(1), 1);
 }
 
+Test(poison_registry, upstreams_that_die_at_the_same_time_count_as_one_death_more) {
+  poison_registry registry({.deaths_before_isolation = 2, .deaths_before_refusal = 3});
+  registry.on_death({{1}}, 7, now);
+  registry.on_death({{1}}, 7, now);
+  cr_assert_eq(registry.deaths_of(1), 1);
+  const suspicion after_first = registry.find(1, now);
+  for (std::uint64_t upstream = 8; upstream < 12; ++upstream) {
+    registry.on_death({{1}}, upstream, now);
+    cr_assert_eq(registry.deaths_of(1), 2);
+  }
+  registry.on_death({after_first}, 20, now);
+  cr_assert(registry.is_refused(1, now));
+}
+
 Test(poison_registry, a_death_during_a_cleared_execution_begins_a_new_chain) {
   poison_registry registry({.deaths_before_isolation = 2, .deaths_before_refusal = 3});
-  registry.on_death({{1}}, now);
+  registry.on_death({{1}}, 0, now);
   const suspicion at_start = registry.find(1, now);
   registry.clear(1, now);
-  registry.on_death({at_start}, now);
+  registry.on_death({at_start}, 0, now);
   cr_assert_eq(registry.deaths_of(1), 1);
 }
 
@@ -134,6 +148,21 @@
   } while (std::next_permutation(order.begin(), order.end()));
 }
 
+Test(poison_registry, suspicions_with_upstreams_merge_alike_in_any_order) {
+  const std::vector<suspicion> reported{
+      {1, 0, 3, now, {4, 5, 6}}, {1, 1, 1, now, {9}}, {1, 1, 2, now, {7}}, {1, 1, 1, now, {3, 8}}};
+  const suspicion joined{1, 1, 2, now, {3, 7, 8}};
+  std::vector<std::size_t> order{0, 1, 2, 3};
+  do {
+    poison_registry registry;
+    for (const std::size_t index : order) {
+      registry.merge(reported[index], now);
+      registry.merge(reported[order.front()], now); // repeated
+    }
+    cr_assert(registry.find(1, now) == joined);
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
 Test(poison_registry, many_suspects_displace_those_with_the_fewest_deaths) {
   poison_registry registry({.max_suspects = 10});
   registry.merge({1, 0, 2, now}, now);
--- a/src/arbutuslb/core/engine/call_router.cc
+++ b/src/arbutuslb/core/engine/call_router.cc
@@ -380,7 +380,7 @@
   }
   if (reply.upstream_died && !poison_.is_suspect(call.fingerprint, shared_.now)) {
     calls::suspicion suspect = poison_.find(call.fingerprint, shared_.now);
-    suspect.deaths = 1;
+    suspect.chain = 1;
     suspect.last_death = shared_.now;
     poison_.merge(suspect, shared_.now);
     shared_.write(severity::warning, "request_suspected", {{"route", call.route}});
--- a/src/arbutuslb/core/engine/upstream_gate.cc
+++ b/src/arbutuslb/core/engine/upstream_gate.cc
@@ -247,8 +247,8 @@
     }
   }
   finished_executions_.push_back({route, moves::execution_outcome::death, duration{}});
-  for (const calls::suspicion& suspect : poison_.on_death(running, shared_.now)) {
-    send_poison_report(suspect.fingerprint, suspect.deaths);
+  for (const calls::suspicion& suspect : poison_.on_death(running, 0, shared_.now)) {
+    send_poison_report(suspect.fingerprint, suspect.deaths());
   }
   shared_.write(severity::warning, "upstream_died", {{"running", std::to_string(running.size())}});
 }
--- a/src/arbutuslb/core/gateway/calls.h
+++ b/src/arbutuslb/core/gateway/calls.h
@@ -64,7 +64,7 @@
   std::optional<upstream_notice> notice;
   // What the gate knows of the request; without a fingerprint if it is no suspect.
   calls::suspicion suspicion;
-  // An isolated suspect was refused because another one, perhaps a copy of it, was still in
+  // A suspect was refused because a copy of it, or another isolated suspect, was still in
   // execution. It must not be sent to another gate.
   bool is_behind_suspect = false;
 };
--- a/src/arbutuslb/core/gateway/crash_containment.cc
+++ b/src/arbutuslb/core/gateway/crash_containment.cc
@@ -1,5 +1,6 @@
 #include "arbutuslb/core/gateway/crash_containment.h"
 
+#include "arbutuslb/core/base/hash.h"
 #include "arbutuslb/core/gateway/request_fingerprint.h"
 
 #include <algorithm>
@@ -20,8 +21,8 @@
 constexpr std::size_t max_recorded = 32;
 
 bool is_more_important(const calls::suspicion& left, const calls::suspicion& right) {
-  return std::tuple(left.deaths, left.last_death, left.fingerprint) >
-         std::tuple(right.deaths, right.last_death, right.fingerprint);
+  return std::tuple(left.deaths(), left.last_death, left.fingerprint) >
+         std::tuple(right.deaths(), right.last_death, right.fingerprint);
 }
 
 calls::poison_policy containment_policy() {
@@ -47,15 +48,21 @@
 }
 
 crash_verdict crash_containment::judge(const calls::suspicion& known) const {
-  if (known.deaths >= deaths_before_refusal) {
+  if (known.deaths() >= deaths_before_refusal) {
     return crash_verdict::refuse;
   }
-  return known.deaths >= deaths_before_isolation ? crash_verdict::isolate : crash_verdict::run;
+  if (known.deaths() >= deaths_before_isolation) {
+    return crash_verdict::isolate;
+  }
+  return known.deaths() > 0 ? crash_verdict::run_one_copy : crash_verdict::run;
 }
 
 std::vector<calls::suspicion>
-crash_containment::on_death(const std::vector<calls::suspicion>& running, time_point now) {
-  std::vector<calls::suspicion> attributed = registry_.on_death(running, now);
+crash_containment::on_death(const std::vector<calls::suspicion>& running,
+                            const upstream_incarnation& died, time_point now) {
+  const auto incarnation = static_cast<std::uint64_t>(died.started_ms);
+  std::vector<calls::suspicion> attributed =
+      registry_.on_death(running, hash_bytes(died.instance_id, incarnation), now);
   for (const calls::suspicion& suspect : attributed) {
     index(suspect);
     note_change(suspect.fingerprint, now);
@@ -65,7 +72,7 @@
 
 std::optional<calls::suspicion> crash_containment::on_answer(const call& request, time_point now) {
   const calls::suspicion known = find(request, now);
-  if (known.deaths == 0 || !registry_.clear(known.fingerprint, now)) {
+  if (known.deaths() == 0 || !registry_.clear(known.fingerprint, now)) {
     return std::nullopt;
   }
   note_change(known.fingerprint, now);
@@ -74,17 +81,17 @@
 
 bool crash_containment::merge(calls::suspicion value, time_point now) {
   value.last_death = std::min(value.last_death, now);
-  const bool says_nothing = value.generation == 0 && value.deaths == 0;
+  const bool says_nothing = value.generation == 0 && value.deaths() == 0;
   if (value.fingerprint == 0 || says_nothing || !registry_.merge(value, now)) {
     return false;
   }
-  index(value);
+  index(registry_.find(value.fingerprint, now));
   return true;
 }
 
 void crash_containment::index(const calls::suspicion& value) {
   tags_.insert(tag_of(value.fingerprint));
-  if (judge(value) != crash_verdict::run) {
+  if (is_isolated(value)) {
     isolated_.insert(value.fingerprint);
   }
 }
@@ -112,13 +119,13 @@
   std::vector<calls::suspicion> reported;
   for (const std::uint64_t fingerprint : isolated_) {
     const calls::suspicion known = registry_.find(fingerprint, now);
-    if (judge(known) != crash_verdict::run) {
+    if (is_isolated(known)) {
       reported.push_back(known);
     }
   }
   for (const change& item : changes_) {
     const calls::suspicion known = registry_.find(item.fingerprint, now);
-    const bool says_something = known.generation > 0 || known.deaths > 0;
+    const bool says_something = known.generation > 0 || known.deaths() > 0;
     if (says_something && now - item.at < change_report_time) {
       reported.push_back(known);
     }
--- a/src/arbutuslb/core/gateway/crash_containment.h
+++ b/src/arbutuslb/core/gateway/crash_containment.h
@@ -4,11 +4,11 @@
 // there, and that its caller sends again to any daemon, under another id. The daemons share what
 // they know of it, so that it ends a bounded number of upstreams in a day:
 //
-// - The requests that an upstream was executing when it died are suspects. Nothing changes for
-//   them: most are innocent, and their retries soon show it.
+// - The requests that an upstream was executing when it died are suspects. Most are innocent, and
+//   their retries soon show it. Until then all daemons send the copies of a suspect to the same
+//   gate, and that gate executes one of them at a time.
 // - A suspect whose next execution ended with the death of the upstream, too, is isolated: it is
-//   not retried by the daemons, all of them send it to the same gate, and that gate executes one
-//   isolated suspect at a time.
+//   not retried by the daemons, and its gate executes one isolated suspect at a time.
 // - If the upstream dies again, the suspect is refused everywhere for a day.
 //
 // An answer clears a suspect. Suspicions are merged in any order (calls/poison_registry.h).
@@ -18,6 +18,7 @@
 
 #include "arbutuslb/core/calls/poison_registry.h"
 #include "arbutuslb/core/gateway/calls.h"
+#include "arbutuslb/core/gateway/upstream_registry.h"
 
 #include <deque>
 #include <unordered_set>
@@ -30,7 +31,8 @@
 
 enum class crash_verdict : std::uint8_t {
   run,
-  isolate, // without retries, at the gate that the fingerprint is assigned to, one at a time
+  run_one_copy, // at the gate that the fingerprint is assigned to, one copy at a time
+  isolate,      // likewise, without retries and without other isolated suspects beside it
   refuse
 };
 
@@ -46,11 +48,15 @@
     return registry_.find(fingerprint, now);
   }
   crash_verdict judge(const calls::suspicion& known) const;
+  // Returns true for a suspect that is isolated or refused.
+  bool is_isolated(const calls::suspicion& known) const {
+    return judge(known) >= crash_verdict::isolate;
+  }
 
   // The local upstream died while it executed these requests, given as they were known when their
   // executions began. Returns the new suspicions.
   std::vector<calls::suspicion> on_death(const std::vector<calls::suspicion>& running,
-                                         time_point now);
+                                         const upstream_incarnation& died, time_point now);
   // An upstream has answered the request. Returns the suspicion that this cleared, if any.
   std::optional<calls::suspicion> on_answer(const call& request, time_point now);
   // Takes over what another daemon knows. Returns true if it is news.
--- a/src/arbutuslb/core/gateway/crash_containment_test.cc
+++ b/src/arbutuslb/core/gateway/crash_containment_test.cc
@@ -109,6 +109,71 @@
   }
 }
 
+namespace {
+
+// Callers that send the crashing request again at some daemon after each answer.
+struct crash_sender {
+  std::uint64_t token = 0; // of the request that is not answered yet; zero if there is none
+  arbutuslb::core::time_point next{};
+
+  void advance(wide_mesh& mesh, arbutuslb::core::random_source& random) {
+    if (token != 0 && mesh.fleet.answers.contains(token)) {
+      token = 0;
+      next = mesh.fleet.now() + random.jitter(600ms);
+    }
+    if (token == 0 && mesh.fleet.now() >= next) {
+      token = mesh.fleet.call(random.below(mesh.daemons.size()), host, crashing);
+    }
+  }
+};
+
+} // namespace
+
+Test(containment, several_senders_at_once_end_no_more_upstreams_than_one) {
+  for (const std::size_t count : {1, 2, 3}) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      wide_mesh mesh(seed);
+      arbutuslb::core::random_source random(seed);
+      mesh.fleet.crashing_targets[crashing] = 10ms + random.jitter(100ms);
+      mesh.fleet.down_time = 300ms + random.jitter(3s);
+      std::vector<crash_sender> senders(count);
+      for (crash_sender& sender : senders) {
+        sender.next = mesh.fleet.now() + random.jitter(1s);
+      }
+      for (int i = 0; i < 1000; ++i) {
+        for (crash_sender& sender : senders) {
+          sender.advance(mesh, random);
+        }
+        mesh.send_ordinary(10ms);
+      }
+      cr_assert_leq(mesh.deaths_by(crashing), max_deaths, "%d senders, seed %d: %d upstreams",
+                    static_cast<int>(count), static_cast<int>(seed), mesh.deaths_by(crashing));
+    }
+  }
+}
+
+Test(containment, a_popular_request_is_served_when_upstreams_die_at_once) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    wide_mesh mesh(seed);
+    std::vector<std::uint64_t> tokens;
+    for (int i = 0; i < 600; ++i) { // 3 s
+      tokens.push_back(mesh.fleet.call(mesh.daemons[tokens.size() % 10], host, "/menu/popular"));
+      if (i == 200) { // half of the upstreams
+        for (const std::size_t daemon : {0, 1, 5, 6}) {
+          mesh.fleet.kill_upstream(daemon);
+        }
+      }
+      mesh.fleet.run_for(5ms);
+    }
+    mesh.fleet.run_for(1s);
+    const long served = std::count_if(tokens.begin(), tokens.end(), [&](std::uint64_t token) {
+      return mesh.fleet.answers[token].status == status_ok;
+    });
+    cr_assert_eq(served, static_cast<long>(tokens.size()), "seed %d: %d", static_cast<int>(seed),
+                 static_cast<int>(served));
+  }
+}
+
 Test(containment, copies_that_wait_for_a_late_crash_are_not_sent_to_another_upstream) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     wide_mesh mesh(seed);
@@ -398,7 +463,7 @@
     running[i].fingerprint = i + 1;
   }
   const arbutuslb::core::time_point now{std::chrono::hours{24}};
-  cr_assert_eq(containment.on_death(running, now).size(), 200);
+  cr_assert_eq(containment.on_death(running, {"i-1", 1}, now).size(), 200);
   cr_assert_leq(containment.to_report(now).size(), 24);
   cr_assert_leq(containment.to_record(now).size(), 32);
   cr_assert_gt(containment.omitted(), 0);
@@ -407,11 +472,11 @@
 Test(containment, a_record_that_a_new_process_writes_keeps_what_it_has_read) {
   const arbutuslb::core::time_point now{std::chrono::hours{24}};
   gateway::crash_containment former;
-  former.on_death({{7}}, now);
+  former.on_death({{7}}, {"i-1", 1}, now);
   gateway::crash_containment restarted;
   for (const arbutuslb::core::calls::suspicion& suspect : former.to_record(now)) {
     restarted.merge(suspect, now);
   }
-  restarted.on_death({{8}}, now + 1s);
+  restarted.on_death({{8}}, {"i-1", 2}, now + 1s);
   cr_assert_eq(restarted.to_record(now + 1s).size(), 2);
 }
--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -304,13 +304,15 @@
 
 namespace {
 
-// Sends a request with its own target, of which the sender knows this many deaths.
+// Sends a request with its own target, or one that was given, of which the sender knows this many
+// deaths.
 std::vector<gateway::action> run_suspect(tested_daemon& daemon, std::uint64_t number,
-                                         std::uint32_t deaths) {
+                                         std::uint32_t deaths, const std::string& target = "") {
   gateway::run_requested request;
   request.token = number;
   request.content.content.attempt_id = "s-" + std::to_string(number);
-  request.content.content.message.target = "/menu/" + std::to_string(number);
+  request.content.content.message.target =
+      target.empty() ? "/menu/" + std::to_string(number) : target;
   request.content.instance_id = instance;
   request.content.route = "r-menu";
   request.content.time_left = 1000ms;
@@ -344,6 +346,35 @@
   cr_assert_eq(second->request.content.attempt_id, "s-2");
 }
 
+Test(gate, copies_of_a_suspect_run_one_at_a_time) {
+  tested_daemon daemon;
+  const std::vector<gateway::action> first = run_suspect(daemon, 1, 0, "/menu/popular");
+  cr_assert_neq(find<gateway::send_to_upstream>(first), nullptr); // when it is no suspect yet
+  for (const std::uint64_t number : {2, 3}) {
+    const std::vector<gateway::action> copy = run_suspect(daemon, number, 1, "/menu/popular");
+    cr_assert_eq(find<gateway::send_to_upstream>(copy), nullptr);
+  }
+  cr_assert_neq(find<gateway::send_to_upstream>(run_suspect(daemon, 4, 1)), nullptr);
+  const std::vector<gateway::action> next =
+      daemon.core.handle(answered(find<gateway::send_to_upstream>(first)->attempt), start + 10ms);
+  const auto starts = std::count_if(next.begin(), next.end(), [](const gateway::action& item) {
+    return std::holds_alternative<gateway::send_to_upstream>(item);
+  });
+  cr_assert_eq(starts, 2); // the answer has cleared them
+}
+
+Test(gate, a_suspect_that_has_waited_for_too_long_is_not_to_be_sent_elsewhere) {
+  tested_daemon daemon;
+  run_suspect(daemon, 1, 1, "/menu/popular");
+  run_suspect(daemon, 2, 1, "/menu/popular");
+  const std::vector<gateway::action> late = daemon.core.handle(gateway::tick{}, start + 1s);
+  const gateway::answer_peer* refusal = find<gateway::answer_peer>(late);
+  cr_assert_neq(refusal, nullptr);
+  cr_assert_eq(refusal->token, 2);
+  cr_assert(refusal->result.outcome == gateway::run_outcome::not_executed);
+  cr_assert(refusal->result.is_behind_suspect);
+}
+
 Test(gate, requests_that_are_isolated_while_they_are_queued_start_one_at_a_time) {
   tested_daemon daemon;
   std::vector<std::uint64_t> running;
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -507,10 +507,10 @@
                                     const std::string& source) {
   for (const calls::suspicion& value : suspicions) {
     const bool is_news = shared_.containment.merge(value, shared_.now);
-    if (is_news && shared_.containment.judge(value) != crash_verdict::run) {
+    if (is_news && shared_.containment.is_isolated(value)) {
       shared_.write(engine::severity::info, "suspicion_received",
                     {{"fingerprint", to_hexadecimal(value.fingerprint)},
-                     {"deaths", std::to_string(value.deaths)},
+                     {"deaths", std::to_string(value.deaths())},
                      {"generation", std::to_string(value.generation)},
                      {"from", source}});
     }
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -97,7 +97,7 @@
   query.allows_version = [this, &pending](const std::string& version) {
     return rollouts_.allows(pending.service, version, pending.uses_new_version);
   };
-  if (shared_.containment.judge(pending.suspicion) == crash_verdict::isolate) {
+  if (shared_.containment.judge(pending.suspicion) != crash_verdict::run) {
     query.affinity_key = pending.suspicion.fingerprint;
   }
   return query;
@@ -110,7 +110,7 @@
       engine::severity::warning, "poison_request_refused",
       {{"id", pending.content.attempt_id},
        {"fingerprint", to_hexadecimal(pending.suspicion.fingerprint)},
-       {"deaths", std::to_string(pending.suspicion.deaths)},
+       {"deaths", std::to_string(pending.suspicion.deaths())},
        {"since_ms", std::to_string(to_milliseconds(shared_.now - pending.suspicion.last_death))}});
   finish_with_status(pending, status_unavailable, poison_reason, poison_retry_after);
 }
@@ -175,7 +175,7 @@
   request.target_time_left = pending.received_at + pending.route->target_latency - shared_.now;
   request.rollout_share_permille = pending.rollout_share_permille;
   request.is_retry = pending.upstreams_reached > 0;
-  if (pending.suspicion.deaths > 0) {
+  if (pending.suspicion.deaths() > 0) {
     request.suspicion = pending.suspicion;
   }
   request.stated_rate_limit = shared_.directory.stated_rate_limit(host);
@@ -226,6 +226,8 @@
 }
 
 void request_router::retry_or_finish(pending_call pending) {
+  // The death of the upstream makes the chain longer that was known when the request was sent.
+  pending.has_ended_with_death = pending.last_result.suspicion.chain > pending.suspicion.chain;
   pending.suspicion = shared_.containment.find(pending.content, shared_.now);
   const bool is_failure = pending.last_result.outcome != run_outcome::answered ||
                           pending.last_result.answer.status >= first_error_status;
@@ -268,14 +270,18 @@
   if (pending.last_result.outcome != run_outcome::not_executed && !pending.route->is_idempotent) {
     return false;
   }
-  // The next execution of an isolated suspect is left to its caller, unless this one has not begun
-  // and no other one is going on.
   const crash_verdict verdict = shared_.containment.judge(pending.suspicion);
-  const bool may_be_running =
-      pending.last_result.outcome == run_outcome::unknown || pending.last_result.is_behind_suspect;
-  if (verdict == crash_verdict::refuse || (verdict == crash_verdict::isolate && may_be_running)) {
+  if (verdict == crash_verdict::refuse) {
     return false;
   }
+  // Elsewhere it would be executed beside another copy.
+  if (verdict != crash_verdict::run && pending.last_result.is_behind_suspect) {
+    return false;
+  }
+  if (verdict == crash_verdict::isolate && pending.last_result.outcome == run_outcome::unknown &&
+      !pending.has_ended_with_death) {
+    return false; // it may still be in execution
+  }
   if (pending.may_have_executed && !pending.route->is_idempotent) {
     return false;
   }
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -63,8 +63,10 @@
     int attempts = 0;               // including the current one
     int upstreams_reached = 0;      // attempts that an upstream received or may have received
     bool may_have_executed = false;
-    run_result last_result;     // result of the last completed attempt
-    calls::suspicion suspicion; // without a fingerprint if the request is no suspect
+    run_result last_result; // result of the last completed attempt
+    // As known when it was sent; without a fingerprint if the request is no suspect.
+    calls::suspicion suspicion;
+    bool has_ended_with_death = false; // the last execution ended, since its upstream died
     // Newest answer of an upstream that a retry was to improve on.
     std::optional<http_response> failed_answer;
   };
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -73,12 +73,12 @@
   incoming.start_by = latest_start(incoming.request);
   (is_local ? tokens_by_local_ : tokens_by_peer_)[reply_token] = token;
   executions_.emplace(token, std::move(incoming));
-  if (verdict == crash_verdict::isolate) {
-    wait_for_isolated(token);
-    start_isolated();
-    return;
+  if (verdict == crash_verdict::run) {
+    submit(token);
+  } else {
+    hold_suspect(token);
+    start_suspects();
   }
-  submit(token);
 }
 
 void upstream_gate::submit(std::uint64_t token) {
@@ -119,17 +119,50 @@
   return shared_.containment.find(request.suspicion.fingerprint, shared_.now);
 }
 
-void upstream_gate::wait_for_isolated(std::uint64_t token) {
+void upstream_gate::hold_suspect(std::uint64_t token) {
   executions_.at(token).is_behind_suspect = true;
-  isolated_waiting_.push_back(token);
+  held_suspects_.push_back(token);
+}
+
+bool upstream_gate::is_copy_running(std::uint64_t token) const {
+  const std::uint64_t fingerprint = executions_.at(token).suspicion.fingerprint;
+  const auto is_copy = [fingerprint](const execution& other) {
+    const call& content = other.request.content;
+    return other.suspicion.fingerprint != 0 ? other.suspicion.fingerprint == fingerprint
+                                            : target_tag(content) == tag_of(fingerprint) &&
+                                                  fingerprint_of(content) == fingerprint;
+  };
+  const auto is_running_copy = [&](const auto& item) {
+    return item.first != token && item.second.attempt != 0 && is_copy(item.second);
+  };
+  const auto is_interrupted_copy = [&](const interruption& item) { return is_copy(item.ended); };
+  return std::any_of(executions_.begin(), executions_.end(), is_running_copy) ||
+         std::any_of(interrupted_.begin(), interrupted_.end(), is_interrupted_copy);
+}
+
+bool upstream_gate::must_wait(std::uint64_t token) {
+  execution& value = executions_.at(token);
+  value.suspicion = suspicion_of(value.request); // may have changed since the request was accepted
+  const crash_verdict verdict = shared_.containment.judge(value.suspicion);
+  if (verdict == crash_verdict::run || verdict == crash_verdict::refuse) {
+    return false;
+  }
+  const bool is_behind_isolated =
+      verdict == crash_verdict::isolate && isolated_token_ && isolated_token_ != token;
+  return is_behind_isolated || is_copy_running(token);
 }
 
-void upstream_gate::start_isolated() {
-  while (!isolated_token_ && !isolated_waiting_.empty()) {
-    const std::uint64_t token = isolated_waiting_.front();
-    isolated_waiting_.pop_front();
-    executions_.at(token).is_behind_suspect = false;
-    isolated_token_ = token;
+void upstream_gate::start_suspects() {
+  for (const std::uint64_t token : std::exchange(held_suspects_, {})) {
+    if (must_wait(token)) {
+      held_suspects_.push_back(token);
+      continue;
+    }
+    execution& value = executions_.at(token);
+    value.is_behind_suspect = false;
+    if (shared_.containment.judge(value.suspicion) == crash_verdict::isolate) {
+      isolated_token_ = token;
+    }
     submit(token);
   }
 }
@@ -223,9 +256,12 @@
 }
 
 void upstream_gate::start(std::uint64_t token) {
+  if (must_wait(token)) {
+    queue_.release(std::nullopt);
+    hold_suspect(token);
+    return;
+  }
   execution& value = executions_.at(token);
-  // Other executions or peers may have changed what is known since the request was accepted.
-  value.suspicion = suspicion_of(value.request);
   const crash_verdict verdict = shared_.containment.judge(value.suspicion);
   if (verdict == crash_verdict::refuse) {
     queue_.release(std::nullopt);
@@ -233,11 +269,6 @@
     return;
   }
   if (verdict == crash_verdict::isolate) {
-    if (isolated_token_ && isolated_token_ != token) {
-      queue_.release(std::nullopt);
-      wait_for_isolated(token);
-      return;
-    }
     isolated_token_ = token;
     ++shared_.totals.isolated_runs;
   } else if (isolated_token_ == token) {
@@ -266,7 +297,7 @@
        token = queue_.next(shared_.now)) {
     start(*token);
   }
-  start_isolated();
+  start_suspects();
 }
 
 void upstream_gate::on_attempt_written(const attempt_written& written) {
@@ -413,8 +444,8 @@
 
 void upstream_gate::refuse_queued(const std::string& reason) {
   std::vector<std::uint64_t> tokens = queue_.take_all();
-  tokens.insert(tokens.end(), isolated_waiting_.begin(), isolated_waiting_.end());
-  isolated_waiting_.clear();
+  tokens.insert(tokens.end(), held_suspects_.begin(), held_suspects_.end());
+  held_suspects_.clear();
   for (const std::uint64_t token : tokens) {
     execution& value = executions_.at(token);
     value.suspicion = suspicion_of(value.request);
@@ -443,9 +474,9 @@
   const std::uint64_t token = found->second;
   tokens.erase(found);
   execution& value = executions_.at(token);
-  if (queue_.remove(token) || std::erase(isolated_waiting_, token) > 0) {
+  if (queue_.remove(token) || std::erase(held_suspects_, token) > 0) {
     forget_execution(token);
-    start_isolated();
+    start_suspects();
     return;
   }
   if (!value.request.is_idempotent || isolated_token_ == token) {
@@ -468,13 +499,14 @@
     const int rank = executions_.at(token).request.rank;
     withdraw(token, "no slot became free in time", queue_.expected_wait(rank, shared_.now));
   }
-  while (!isolated_waiting_.empty() &&
-         executions_.at(isolated_waiting_.front()).start_by <= shared_.now) {
-    const std::uint64_t token = isolated_waiting_.front();
-    isolated_waiting_.pop_front();
-    withdraw(token, "another suspect is running", duration::zero());
+  for (const std::uint64_t token : std::exchange(held_suspects_, {})) {
+    if (executions_.at(token).start_by <= shared_.now) {
+      withdraw(token, "another suspect is running", duration::zero());
+    } else {
+      held_suspects_.push_back(token);
+    }
   }
-  if (queue_.waiting() > 0) {
+  if (queue_.waiting() > 0 || !held_suspects_.empty()) {
     start_queued();
   }
   if (!departure_tokens_.empty() || !is_departure_recorded()) {
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -71,7 +71,7 @@
     calls::suspicion suspicion; // as known when it was started
     upstream_incarnation upstream() const { return {request.instance_id, upstream_started_ms}; }
     bool is_abandoned = false;      // the requester has disconnected; the result is not sent
-    bool is_behind_suspect = false; // in `isolated_waiting_`
+    bool is_behind_suspect = false; // in `held_suspects_`
   };
 
   // Starts, queues or refuses the request.
@@ -119,10 +119,15 @@
   void withdraw(std::uint64_t token, const std::string& reason, duration retry_after);
   // Removes a request that is not running.
   void forget_execution(std::uint64_t token);
-  // Lets an isolated suspect wait for the one that is queued or running.
-  void wait_for_isolated(std::uint64_t token);
-  // Submits the next isolated suspect if none is running.
-  void start_isolated();
+  // Keeps a suspect out of the queue until it may be executed.
+  void hold_suspect(std::uint64_t token);
+  // Returns true if the upstream is executing another copy of this suspect.
+  bool is_copy_running(std::uint64_t token) const;
+  // Returns true if the request is a suspect that may not be executed beside those that are
+  // running.
+  bool must_wait(std::uint64_t token);
+  // Submits the held suspects that need not wait any more.
+  void start_suspects();
   void update_limits();
   // Returns the rate limit that follows from the cold time of the upstream, in requests per second;
   // zero if there is none, because the upstream is not cold or its service is not configured.
@@ -156,7 +161,7 @@
   };
   std::deque<unfinished_execution> unfinished_; // oldest first
   std::optional<std::uint64_t> isolated_token_; // isolated suspect that is queued or running
-  std::deque<std::uint64_t> isolated_waiting_;  // tokens of those that wait for it
+  std::vector<std::uint64_t> held_suspects_;    // tokens, in order of arrival
   std::map<std::string, double> route_means_;   // mean latency in microseconds, by route
   // The departure of the upstream that is being recorded.
   std::vector<std::uint64_t> departure_tokens_; // heartbeats and deregistrations to acknowledge
--- a/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
@@ -194,13 +194,13 @@
     return;
   }
   ++shared_.totals.suspicions_cleared;
-  if (shared_.containment.judge(*cleared) != crash_verdict::run) {
+  if (shared_.containment.is_isolated(*cleared)) {
     shared_.is_report_due = true; // all daemons treat the request specially
   }
   shared_.write(engine::severity::info, "suspicion_cleared",
                 {{"id", answered.request.content.attempt_id},
                  {"fingerprint", to_hexadecimal(cleared->fingerprint)},
-                 {"deaths", std::to_string(cleared->deaths)}});
+                 {"deaths", std::to_string(cleared->deaths())}});
 }
 
 void upstream_gate::hold_interrupted(execution ended, run_result result) {
@@ -269,14 +269,10 @@
       return;
     }
     identify(item);
-    if (item.request.is_retry) {
-      // Deaths under one attempt of a caller form a chain, even if its executions overlapped.
-      item.suspicion = shared_.containment.find(item.suspicion.fingerprint, shared_.now);
-    }
     running.push_back(item.suspicion);
     requests += requests.empty() ? "" : ",";
     requests += item.request.content.attempt_id + ":" + to_hexadecimal(item.suspicion.fingerprint) +
-                ":" + std::to_string(item.suspicion.deaths) + ":" +
+                ":" + std::to_string(item.suspicion.deaths()) + ":" +
                 std::to_string(to_milliseconds(shared_.now - item.started));
   };
   for (interruption& item : interrupted_) {
@@ -292,7 +288,7 @@
   }
   unfinished_.clear();
   const std::vector<calls::suspicion> suspicions =
-      shared_.containment.on_death(running, shared_.now);
+      shared_.containment.on_death(running, *died_, shared_.now);
   shared_.totals.suspicions += suspicions.size();
   shared_.write(engine::severity::warning, "upstream_died",
                 {{"instance", died_->instance_id},
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -234,7 +234,8 @@
 
 Test(gateway_codec, suspicions_survive_a_round_trip) {
   namespace wire = arbutuslb::runtime::wire;
-  const core::calls::suspicion suspect{0xfeedU, 2, 3, core::time_point{1'790'000'000'123ms}};
+  const core::calls::suspicion suspect{
+      0xfeedU, 2, 3, core::time_point{1'790'000'000'123ms}, {7, 8, 9}};
   gateway::run_request request;
   request.suspicion = suspect;
   cr_assert(wire::decode_run_request(wire::encode(request)).suspicion == suspect);
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -3,6 +3,7 @@
 #include "arbutuslb/runtime/wire/evidence_codec.h"
 #include "arbutuslb/runtime/wire/gateway.pb.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace arbutuslb::runtime::wire {
@@ -43,18 +44,30 @@
 void to_proto(const core::calls::suspicion& from, Suspicion& out) {
   out.set_fingerprint(from.fingerprint);
   out.set_generation(from.generation);
-  out.set_deaths(from.deaths);
+  out.set_chain(from.chain);
   out.set_last_death_ms(core::to_epoch_milliseconds(from.last_death));
+  for (const std::uint64_t upstream : from.upstreams) {
+    out.add_upstreams(upstream);
+  }
 }
 
 core::calls::suspicion from_proto(const Suspicion& in) {
   // The year 10000; later times overflow the core's clock.
   constexpr std::int64_t max_epoch_ms = 253'402'300'800'000;
+  constexpr std::uint32_t max_chain = 1'000'000;
   if (in.last_death_ms() < 0 || in.last_death_ms() > max_epoch_ms) {
     throw codec_error("time of a death out of range");
   }
-  return {in.fingerprint(), in.generation(), in.deaths(),
-          core::time_point{std::chrono::milliseconds{in.last_death_ms()}}};
+  const auto count = static_cast<std::size_t>(in.upstreams_size());
+  const bool is_sorted = std::is_sorted(in.upstreams().begin(), in.upstreams().end());
+  if (in.chain() > max_chain || count > core::calls::suspicion::max_upstreams || !is_sorted) {
+    throw codec_error("deaths out of range");
+  }
+  return {in.fingerprint(),
+          in.generation(),
+          in.chain(),
+          core::time_point{std::chrono::milliseconds{in.last_death_ms()}},
+          {in.upstreams().begin(), in.upstreams().end()}};
 }
 
 double checked_rate(double per_second) {
