The recorded outcome of a rollout overrides what the daemons have concluded

A daemon that read `rolled_back` from the store returned to `completed` with the next report of a daemon that had concluded so, and the others never learned of the record at all. Callers could be sent to a version whose upstreams the platform was removing.

Change: progress on reports carries the era of the store in which the phase is recorded. A recorded phase is final for reports, and overrides one that is not recorded or was recorded in an earlier era; everything else is merged as before. Daemons of the version before ignore the field.

Evidence: rollout::the_recorded_outcome_overrides_what_the_daemons_have_concluded fails before (requests still reach the new version at daemons 1 and 5 after the end) and passes. 231 core tests and 50 runtime tests pass, with round trips of the new field and the rejection of a suspicion with more than three upstreams.

Ruled out: letting each daemon read the outcomes; a store call for each daemon and rollout.

--- a/src/arbutuslb/core/gateway/peer_report.h
+++ b/src/arbutuslb/core/gateway/peer_report.h
@@ -10,6 +10,7 @@
 #include "arbutuslb/core/gateway/log_position.h"
 #include "arbutuslb/core/protocol/messages.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,12 +25,14 @@
 
 enum class rollout_phase : std::uint8_t { running, rolled_back, completed };
 
-// The progress of a rollout as recorded by the sender. Phase and share are merged by maximum, so
-// reports can be merged in any order.
+// The progress of a rollout as known by the sender. Reports can be merged in any order: the share
+// and the phase by maximum, except that a phase that is in the store overrides one that is not, or
+// that was in an earlier era.
 struct rollout_progress {
   std::uint64_t id = 0;   // derived from the position of the operator record
   int share_permille = 0; // share of the requests that are sent to the new version
   rollout_phase phase = rollout_phase::running;
+  std::optional<std::uint64_t> recorded_era; // era of the store in which the phase is recorded
   friend bool operator==(const rollout_progress&, const rollout_progress&) = default;
 };
 
--- a/src/arbutuslb/core/gateway/rollout_conductor.cc
+++ b/src/arbutuslb/core/gateway/rollout_conductor.cc
@@ -84,7 +84,7 @@
 }
 
 bool rollout_conductor::advance(rollout& value, int share_permille, rollout_phase phase) {
-  const bool is_later_phase = phase > value.phase;
+  const bool is_later_phase = !value.recorded_era && phase > value.phase;
   const bool is_higher = share_permille > value.share_permille;
   if (!is_later_phase && !is_higher) {
     return false;
@@ -99,6 +99,23 @@
     value.wait_reason.clear();
     value.wait_logged_at = {};
   }
+  note_step(value);
+  return true;
+}
+
+void rollout_conductor::take_over_recorded(rollout& value, rollout_phase phase, std::uint64_t era) {
+  if (phase == rollout_phase::running || value.recorded_era >= era) {
+    return;
+  }
+  value.recorded_era = era;
+  if (value.phase != phase) {
+    value.phase = phase;
+    value.phase_changed_at = shared_.now;
+    note_step(value);
+  }
+}
+
+void rollout_conductor::note_step(const rollout& value) {
   shared_.is_local_report_due = true;
   shared_.write(engine::severity::info, "rollout_step",
                 {{"service", value.order.service},
@@ -106,15 +123,18 @@
                  {"id", std::to_string(value.id)},
                  {"share_permille", std::to_string(value.share_permille)},
                  {"phase", to_string(value.phase)}});
-  return true;
 }
 
 void rollout_conductor::on_report(const peer_report& report) {
   for (const rollout_progress& item : report.rollouts) {
     for (auto& [service, value] : rollouts_) {
-      if (value.has_id(item.id)) {
-        advance(value, item.share_permille, item.phase);
+      if (!value.has_id(item.id)) {
+        continue;
+      }
+      if (item.recorded_era) {
+        take_over_recorded(value, item.phase, *item.recorded_era);
       }
+      advance(value, item.share_permille, item.phase);
     }
   }
   for (const protocol::evidence_report& item : report.evidence) {
@@ -139,13 +159,7 @@
         item.target_version != found->second.order.target_version) {
       continue;
     }
-    rollout& value = found->second;
-    value.recorded_era = era_;
-    if (value.phase != item.phase) {
-      // The first record in the store is final and overrides the phase concluded here.
-      value.phase = rollout_phase::running;
-      advance(value, value.share_permille, item.phase);
-    }
+    take_over_recorded(found->second, item.phase, era_);
   }
 }
 
@@ -309,7 +323,7 @@
 std::vector<rollout_progress> rollout_conductor::progress() const {
   std::vector<rollout_progress> all;
   for (const auto& [service, value] : rollouts_) {
-    all.push_back({value.id, value.share_permille, value.phase});
+    all.push_back({value.id, value.share_permille, value.phase, value.recorded_era});
   }
   return all;
 }
--- a/src/arbutuslb/core/gateway/rollout_conductor.h
+++ b/src/arbutuslb/core/gateway/rollout_conductor.h
@@ -3,7 +3,8 @@
 // The daemon that is assigned the role for a service evaluates the evidence of the upstreams,
 // raises the share, and records the outcome in the store, where the first record is final. The
 // share and the phase spread in reports and only advance, so a daemon that takes over the role
-// continues from the most advanced state that any daemon has reported.
+// continues from the most advanced state that any daemon has reported. The recorded outcome
+// overrides what the daemons have concluded.
 #pragma once
 
 #include "arbutuslb/core/gateway/gateway_context.h"
@@ -65,6 +66,9 @@
 private:
   // Applies a later phase or a higher share. Returns true if the state changed.
   bool advance(rollout& value, int share_permille, rollout_phase phase);
+  // Takes over a phase that is recorded in this era of the store, if none of a later one is known.
+  void take_over_recorded(rollout& value, rollout_phase phase, std::uint64_t era);
+  void note_step(const rollout& value);
   void evaluate(rollout& value);
   // Logs why the share does not rise if the reason has changed, once a second at most.
   void note_wait(rollout& value, const std::string& reason);
--- a/src/arbutuslb/core/gateway/rollout_test.cc
+++ b/src/arbutuslb/core/gateway/rollout_test.cc
@@ -93,3 +93,20 @@
     cr_assert(play.has_outcome(gateway::rollout_phase::completed));
   }
 }
+
+Test(rollout, the_recorded_outcome_overrides_what_the_daemons_have_concluded) {
+  rollout_play play;
+  play.fixture.fleet.record_outcome("menu", "v2", gateway::rollout_phase::rolled_back);
+  play.run();
+  play.fixture.fleet.run_for(2s); // the daemons had concluded that the version is sound
+  const std::size_t before =
+      play.fixture.fleet.starts[1].size() + play.fixture.fleet.starts[5].size();
+  for (std::size_t daemon = 0; daemon < 8; ++daemon) {
+    for (int i = 0; i < 5; ++i) {
+      const std::uint64_t token = play.fixture.fleet.call(daemon, "shop.example", "/menu/1");
+      play.fixture.fleet.run_for(100ms);
+      cr_assert_eq(play.fixture.fleet.answers[token].status, status_ok);
+    }
+  }
+  cr_assert_eq(play.fixture.fleet.starts[1].size() + play.fixture.fleet.starts[5].size(), before);
+}
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -294,6 +294,12 @@
   after(default_delay, [this, index, received] { handle(index, received); });
 }
 
+void gateway_fleet::record_outcome(const std::string& service, const std::string& version,
+                                   gateway::rollout_phase phase) {
+  outcomes[service] = phase;
+  outcome_versions_[service] = version;
+}
+
 void gateway_fleet::restore_store(std::size_t kept) {
   log_.resize(kept);
   outcomes.clear();
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -52,6 +52,9 @@
   // Appends a record that readers see only as part of the newest of each key, as if older records
   // had been deleted before they could read them.
   void order_unseen(const std::string& key, core::gateway::record_value value);
+  // Another daemon has recorded this outcome of a rollout in the store.
+  void record_outcome(const std::string& service, const std::string& version,
+                      core::gateway::rollout_phase phase);
   // The store comes back from a copy with the first `kept` records of the operator log and without
   // outcomes and departures.
   void restore_store(std::size_t kept);
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -255,6 +255,28 @@
                0);
 }
 
+Test(gateway_codec, the_progress_of_rollouts_survives_a_round_trip) {
+  namespace wire = arbutuslb::runtime::wire;
+  gateway::report_bundle bundle;
+  bundle.reports.emplace_back();
+  bundle.reports[0].content.rollouts = {{7, 400, gateway::rollout_phase::running, std::nullopt},
+                                        {8, 1000, gateway::rollout_phase::completed, 0},
+                                        {9, 150, gateway::rollout_phase::rolled_back, 3}};
+  const gateway::report_bundle decoded = wire::decode_reports(wire::encode(bundle), "10.0.0.1");
+  cr_assert(decoded.reports[0].content.rollouts == bundle.reports[0].content.rollouts);
+}
+
+Test(gateway_codec, a_suspicion_with_too_many_upstreams_is_rejected) {
+  namespace wire = arbutuslb::runtime::wire;
+  const core::calls::suspicion impossible{1, 0, 1, core::time_point{}, {1, 2, 3, 4}};
+  try {
+    wire::decode_suspicions(wire::encode_suspicions({impossible}));
+    cr_assert_fail("not rejected");
+  } catch (const wire::codec_error& error) {
+    cr_assert_neq(std::string(error.what()), "");
+  }
+}
+
 Test(gateway_codec, a_suspicion_with_an_impossible_time_is_rejected) {
   namespace wire = arbutuslb::runtime::wire;
   const core::calls::suspicion impossible{1, 0, 1, core::time_point::min()};
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -226,6 +226,9 @@
     converted.set_id(item.id);
     converted.set_share_permille(static_cast<std::uint32_t>(item.share_permille));
     converted.set_phase(static_cast<std::uint32_t>(item.phase));
+    if (item.recorded_era) {
+      converted.set_recorded_era(*item.recorded_era);
+    }
   }
   for (const core::protocol::evidence_report& item : value.evidence) {
     wire::to_proto(item, *out.add_evidence());
@@ -266,7 +269,10 @@
       throw codec_error("rollout phase out of range");
     }
     value.rollouts.push_back({item.id(), static_cast<int>(item.share_permille()),
-                              static_cast<gateway::rollout_phase>(item.phase())});
+                              static_cast<gateway::rollout_phase>(item.phase()), std::nullopt});
+    if (item.has_recorded_era()) {
+      value.rollouts.back().recorded_era = item.recorded_era();
+    }
   }
   for (const EvidenceReport& item : in.evidence()) {
     value.evidence.push_back(from_proto(item));
