Answers without end are given up, whatever they consist of

Cause: the users warn that servers in trouble may send bytes without end. The client limited the head of one response (64 KB) and its body (64 MB, which is all that a daemon may use), but not a series of interim responses, nor of answers to other requests, which it dropped one after the other. It also read one connection as long as bytes came, so that no time limit was checked meanwhile.

Change: the limit for heads is for all interim responses of an answer together; no more than eight answers to other requests are dropped; a body may have 16 MB; after four reads the other connections have their turn.

That other connections have their turn has no test of its own: the stand-in shares the loop.

Ruled out: limits from the operators' records; those are for callers' requests.

--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -17,8 +17,13 @@
 using steady = std::chrono::steady_clock;
 
 constexpr std::size_t read_buffer_size = std::size_t{64} * 1024;
-// Size limits of answers. They are independent of the limits for the requests of callers.
-constexpr read_limits answer_limits{std::size_t{64} * 1024, std::size_t{64} * 1024 * 1024};
+// Other connections are served after this many reads.
+constexpr std::size_t max_reads_per_wakeup = 4;
+// Size limits of answers. They are independent of the limits for the requests of callers. A daemon
+// has 64 MB for everything (docs/CAPACITY.md).
+constexpr read_limits answer_limits{std::size_t{64} * 1024, std::size_t{16} * 1024 * 1024};
+// Answers to other requests that may precede the one to a request.
+constexpr int max_dropped_answers = 8;
 // Idle connections are closed after this time, or earlier if the server announces a shorter
 // keep-alive time.
 constexpr std::chrono::seconds max_keep_alive_time{6};
@@ -177,7 +182,7 @@
   }
 
   void read() {
-    while (!is_closed_) {
+    for (std::size_t i = 0; i < max_reads_per_wakeup && !is_closed_; ++i) {
       std::error_code error;
       const std::size_t size = socket_.read_some(asio::buffer(read_buffer), error);
       if (error == asio::error::would_block) {
@@ -223,11 +228,12 @@
     }
     core::http_response answer = reader_.take_response();
     if (options_.is_matching_answer && !options_.is_matching_answer(answer)) {
-      if (!is_persistent) {
+      if (!is_persistent || ++dropped_answers_ > max_dropped_answers) {
         fail();
       }
       return;
     }
+    dropped_answers_ = 0;
     const bool is_reusable = is_persistent && is_last && !is_writing_ && !is_closed_ &&
                              keep_alive_time_ > core::duration::zero();
     if (is_reusable) {
@@ -295,6 +301,7 @@
   steady::time_point started_at_{};
   steady::time_point idle_since_{};
   core::duration keep_alive_time_ = max_keep_alive_time;
+  int dropped_answers_ = 0; // since the last answer that belonged to its request
   bool is_connected_ = false;
   bool is_refused_ = false;
   bool has_sent_ = false;
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -340,6 +340,72 @@
   cr_assert_eq(end->answer.body, "right");
 }
 
+namespace {
+
+// Accepts one connection and sends `piece` after `head` again and again, until the other side
+// closes or `max_bytes` are sent.
+struct endless_server {
+  static constexpr std::size_t max_bytes = std::size_t{64} * 1024 * 1024;
+
+  endless_server(asio::io_context& loop, std::string head, std::string repeated)
+      : acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        piece(std::move(repeated)) {
+    acceptor.async_accept([this, head = std::move(head)](std::error_code, tcp::socket accepted) {
+      socket = std::move(accepted);
+      asio::write(*socket, asio::buffer(head));
+      send_piece();
+    });
+  }
+  void send_piece() {
+    asio::async_write(*socket, asio::buffer(piece),
+                      [this](std::error_code error, std::size_t size) {
+                        sent += size;
+                        if (error || sent >= max_bytes) {
+                          socket->close();
+                        } else {
+                          send_piece();
+                        }
+                      });
+  }
+
+  tcp::acceptor acceptor;
+  std::optional<tcp::socket> socket;
+  std::string piece;
+  std::size_t sent = 0;
+};
+
+} // namespace
+
+Test(client, a_server_that_answers_without_end_is_given_up) {
+  const std::string body(16384, 'x');
+  const std::vector<std::pair<std::string, std::string>> answers{
+      {"HTTP/1.1 200 OK\r\nA: ", body},
+      {"HTTP/1.1 200 OK\r\nId: mine\r\n\r\n", body},
+      {"HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "4000\r\n" + body + "\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\nA: " + std::string(1000, 'x') + "\r\n\r\n"},
+      {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 16384\r\n\r\n" + body}};
+  for (const auto& [head, piece] : answers) {
+    server_fixture fixture;
+    endless_server server(fixture.loop, head, piece);
+    client sender(fixture.loop);
+    std::optional<exchange_result> end;
+    send_options options;
+    options.is_matching_answer = [](const core::http_response& answer) {
+      return *core::find_header(answer.headers, "Id") == "mine";
+    };
+    core::http_request request;
+    request.method = "GET";
+    request.target = "/1";
+    request.headers.emplace_back("Host", "x");
+    sender.send(server.acceptor.local_endpoint(), request, options,
+                [&](exchange_result result) { end = std::move(result); });
+    fixture.run_until([&] { return end.has_value(); });
+    cr_assert(end->outcome == exchange_outcome::broken);
+    cr_assert_lt(server.sent, endless_server::max_bytes / 2, "%s", piece.substr(0, 40).c_str());
+  }
+}
+
 // A server that has no room may never answer a request, nor any later one on that connection.
 Test(client, a_silent_connection_is_given_up_and_the_others_go_on) {
   server_fixture fixture;
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -186,7 +186,10 @@
     }
     if (state_ == read_state::complete && kind_ == message_kind::response &&
         parser_.status_code < first_final_status) {
-      begin_message(); // an interim response; the final response follows
+      // An interim response; the final response follows. The limit is for all headers together.
+      const std::size_t header_bytes = header_bytes_;
+      begin_message();
+      header_bytes_ = header_bytes;
     }
   }
   return consumed;
