The answer that follows one to a HEAD request keeps its body

What callers would see: after a HEAD request, the next answer on the same connection to an upstream reached its caller with status 200 and an empty body, as a complete success.

Change: the expectation is for one response, and is set for each request.

Evidence: client::an_answer_after_one_to_a_head_request_keeps_its_body fails before (empty body) and passes; 52 runtime tests pass.

--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -57,9 +57,8 @@
     on_end_ = std::move(on_end);
     request_bytes_ = std::move(request_bytes);
     started_at_ = steady::now();
-    if (has_no_body) {
-      reader_.expect_no_body();
-    }
+    has_no_body_ = has_no_body;
+    reader_.expect_no_body(has_no_body_);
     if (is_connected_) {
       write();
     } else {
@@ -231,6 +230,7 @@
       if (!is_persistent || ++dropped_answers_ > max_dropped_answers) {
         fail();
       }
+      reader_.expect_no_body(has_no_body_);
       return;
     }
     dropped_answers_ = 0;
@@ -301,7 +301,8 @@
   steady::time_point started_at_{};
   steady::time_point idle_since_{};
   core::duration keep_alive_time_ = max_keep_alive_time;
-  int dropped_answers_ = 0; // since the last answer that belonged to its request
+  bool has_no_body_ = false; // the answer to this exchange
+  int dropped_answers_ = 0;  // since the last answer that belonged to its request
   bool is_connected_ = false;
   bool is_refused_ = false;
   bool has_sent_ = false;
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -292,7 +292,31 @@
   cr_assert_eq(ends[2].answer.body, "last");
 }
 
-// An upstream may send a second answer to an earlier request where the next answer is expected.
+Test(client, an_answer_after_one_to_a_head_request_keeps_its_body) {
+  server_fixture fixture;
+  tcp::acceptor acceptor(fixture.loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  client sender(fixture.loop);
+  std::optional<tcp::socket> peer;
+  acceptor.async_accept([&](std::error_code, tcp::socket socket) { peer = std::move(socket); });
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+  core::http_request request;
+  request.target = "/1";
+  request.headers.emplace_back("Host", "x");
+  for (const auto& [method, answer] :
+       {std::pair<std::string, std::string>("HEAD", head), {"GET", head + "body"}}) {
+    request.method = method;
+    std::optional<exchange_result> end;
+    sender.send(acceptor.local_endpoint(), request, {},
+                [&](exchange_result result) { end = std::move(result); });
+    fixture.run_until([&] { return peer.has_value(); });
+    asio::write(*peer, asio::buffer(answer));
+    fixture.run_until([&] { return end.has_value(); });
+    cr_assert(end->outcome == exchange_outcome::answered);
+    cr_assert_eq(end->answer.body, method == "GET" ? "body" : "");
+  }
+  cr_assert_eq(sender.connections_opened(), 1);
+}
+
 Test(client, a_connection_opened_without_a_request_is_used_by_the_next_one) {
   server_fixture fixture;
   client sender(fixture.loop);
@@ -313,6 +337,7 @@
   cr_assert_eq(sender.connections_opened(), 2);
 }
 
+// An upstream may send a second answer to an earlier request where the next answer is expected.
 Test(client, an_answer_that_belongs_to_another_request_is_dropped) {
   server_fixture fixture;
   tcp::acceptor acceptor(fixture.loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -277,6 +277,7 @@
   response.status = static_cast<int>(parser_.status_code);
   response.headers = std::move(headers_);
   response.body = std::move(body_);
+  has_no_body_ = false;
   begin_message();
   return response;
 }
--- a/src/arbutuslb/runtime/http/message_reader.h
+++ b/src/arbutuslb/runtime/http/message_reader.h
@@ -39,8 +39,8 @@
   // Reports an orderly end of the stream. Completes a response that is delimited by the end of its
   // connection; any other message that is incomplete fails.
   void end_of_stream();
-  // The next response has no body, whatever its header fields say.
-  void expect_no_body() { has_no_body_ = true; }
+  // Whether the next response has no body, whatever its header fields say; applies to one response.
+  void expect_no_body(bool has_no_body) { has_no_body_ = has_no_body; }
 
   read_state state() const noexcept { return state_; }
   read_fault fault() const noexcept { return fault_; }
