The time limits of a request hold while its bytes keep coming

Change: the limits of header and body are checked whatever has arrived; the time starts again with each request. A connection whose request was refused is not refused again while earlier answers are pending.

Evidence: server::a_request_that_arrives_byte_by_byte_is_refused_when_its_time_is_over fails before (2 of 2) and passes (5 of 5); in the same test, requests that follow each other closely for five seconds are answered. 53 runtime tests pass.

--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -265,6 +265,37 @@
   cr_assert_eq(fixture.requests.size(), 1);
 }
 
+Test(server, a_request_that_arrives_byte_by_byte_is_refused_when_its_time_is_over) {
+  server_fixture fixture;
+  tcp::socket socket(fixture.loop);
+  socket.connect(fixture.address);
+  socket.set_option(tcp::no_delay(true));
+  const core::time_point start{std::chrono::hours{24}};
+  const auto send_and_sweep = [&](const std::string& bytes, core::duration elapsed) {
+    asio::write(socket, asio::buffer(bytes));
+    fixture.loop.poll();
+    fixture.loop.restart();
+    fixture.http_server.sweep(start + elapsed);
+  };
+  // Requests that follow each other closely are in time.
+  for (int i = 0; i < 10; ++i) {
+    send_and_sweep("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nG", i * 500ms);
+    send_and_sweep("ET /2 HTTP/1.1\r\nHost: x\r\n\r\n", i * 500ms + 250ms);
+    fixture.run_until([&] { return fixture.requests.size() == 2; });
+    for (const auto& [token, request] : std::exchange(fixture.requests, {})) {
+      fixture.http_server.respond(token, fixture.response("yes"));
+    }
+  }
+  send_and_sweep("GET /slow HTTP/1.1\r\nHost: x\r\nA: ", 5s);
+  for (int i = 1; i <= 13; ++i) { // longer than the limit of 3 s
+    send_and_sweep("b", 5s + i * 250ms);
+  }
+  send_and_sweep("\r\n\r\n", 8500ms); // completes it if it was not refused
+  cr_assert(fixture.requests.empty());
+  const std::string text = read_until(fixture, socket, "408 ");
+  cr_assert_eq(text.find("400 "), std::string::npos);
+}
+
 Test(client, sent_and_unsent_requests_are_distinguished) {
   server_fixture fixture;
   client sender(fixture.loop);
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -84,16 +84,18 @@
       return;
     }
     if (!has_swept_ || has_activity_) {
-      has_swept_ = true;
-      has_activity_ = false;
       inactive_since_ = now;
-      if (!reader_.has_begun()) {
-        request_started_at_ = now;
-      }
+    }
+    if (!has_swept_ || !reader_.has_begun() || is_next_request_) {
+      request_started_at_ = now;
+    }
+    has_swept_ = true;
+    has_activity_ = false;
+    is_next_request_ = false;
+    if (is_refusing_) {
       return;
     }
     if (!reader_.has_begun()) {
-      request_started_at_ = now;
       if (is_idle() && now - inactive_since_ >= options.idle_timeout) {
         close();
       }
@@ -221,6 +223,7 @@
 
   void take_request(state& owner) {
     has_sent_continue_ = false;
+    is_next_request_ = true;
     answer_slot slot;
     slot.token = ++owner.last_token;
     slot.closes_connection = !reader_.keeps_connection() || owner.closes_after_answers;
@@ -328,6 +331,7 @@
   bool has_sent_continue_ = false;
   bool has_activity_ = false;
   bool has_swept_ = false;
+  bool is_next_request_ = false; // a request was complete since the last sweep
   core::time_point inactive_since_{};
   core::time_point request_started_at_{};
   core::time_point lingers_since_{};
