Suspects that wait for one whose upstream dies may be sent elsewhere

Copies that wait at a gate are refused when its upstream dies, and were still marked as being behind one in execution, although that one had ended with the upstream. Their daemons then answered 503 where another upstream could have served them.

Change: executions of an upstream that has died hold nobody; the mark is taken off when nothing is left to wait for.

Evidence: gate::suspects_that_wait_for_one_whose_upstream_dies_may_be_sent_elsewhere fails before and passes; 232 core tests pass.

--- a/src/arbutuslb/core/gateway/crash_containment.h
+++ b/src/arbutuslb/core/gateway/crash_containment.h
@@ -7,8 +7,8 @@
 // - The requests that an upstream was executing when it died are suspects. Most are innocent, and
 //   their retries soon show it. Until then all daemons send the copies of a suspect to the same
 //   gate, and that gate executes one of them at a time.
-// - A suspect whose next execution ended with the death of the upstream, too, is isolated: it is
-//   not retried by the daemons, and its gate executes one isolated suspect at a time.
+// - A suspect whose next execution ended with the death of the upstream, too, is isolated: its gate
+//   executes one isolated suspect at a time, and daemons retry it only if its execution is over.
 // - If the upstream dies again, the suspect is refused everywhere for a day.
 //
 // An answer clears a suspect. Suspicions are merged in any order (calls/poison_registry.h).
@@ -32,7 +32,7 @@
 enum class crash_verdict : std::uint8_t {
   run,
   run_one_copy, // at the gate that the fingerprint is assigned to, one copy at a time
-  isolate,      // likewise, without retries and without other isolated suspects beside it
+  isolate,      // likewise, without other isolated suspects beside it
   refuse
 };
 
--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -6,6 +6,7 @@
 #include "arbutuslb/core/gateway/request_fingerprint.h"
 
 #include <criterion/criterion.h>
+#include <map>
 #include <memory>
 
 namespace {
@@ -375,6 +376,27 @@
   cr_assert(refusal->result.is_behind_suspect);
 }
 
+Test(gate, suspects_that_wait_for_one_whose_upstream_dies_may_be_sent_elsewhere) {
+  tested_daemon daemon;
+  const std::vector<gateway::action> first = run_suspect(daemon, 1, 1, "/menu/popular");
+  run_suspect(daemon, 2, 1, "/menu/popular");
+  gateway::attempt_completed broken{find<gateway::send_to_upstream>(first)->attempt, {}};
+  broken.is_broken = true;
+  daemon.core.handle(broken, start + 10ms);
+  const std::vector<gateway::action> ended =
+      daemon.core.handle(gateway::upstream_probed{gateway::probe_outcome::refused}, start + 11ms);
+  std::map<std::uint64_t, gateway::run_result> results;
+  for (const gateway::action& item : ended) {
+    if (const auto* answer = std::get_if<gateway::answer_peer>(&item)) {
+      results[answer->token] = answer->result;
+    }
+  }
+  cr_assert_eq(results.size(), 2);
+  cr_assert(results[1].outcome == gateway::run_outcome::unknown);
+  cr_assert(results[2].outcome == gateway::run_outcome::not_executed);
+  cr_assert_not((results[2].is_behind_suspect));
+}
+
 Test(gate, requests_that_are_isolated_while_they_are_queued_start_one_at_a_time) {
   tested_daemon daemon;
   std::vector<std::uint64_t> running;
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -126,7 +126,10 @@
 
 bool upstream_gate::is_copy_running(std::uint64_t token) const {
   const std::uint64_t fingerprint = executions_.at(token).suspicion.fingerprint;
-  const auto is_copy = [fingerprint](const execution& other) {
+  const auto is_copy = [&](const execution& other) {
+    if (other.upstream() == died_) {
+      return false;
+    }
     const call& content = other.request.content;
     return other.suspicion.fingerprint != 0 ? other.suspicion.fingerprint == fingerprint
                                             : target_tag(content) == tag_of(fingerprint) &&
@@ -448,6 +451,7 @@
   held_suspects_.clear();
   for (const std::uint64_t token : tokens) {
     execution& value = executions_.at(token);
+    value.is_behind_suspect = value.is_behind_suspect && must_wait(token);
     value.suspicion = suspicion_of(value.request);
     const bool is_poison = shared_.containment.judge(value.suspicion) == crash_verdict::refuse;
     withdraw(token, is_poison ? poison_reason : reason,
--- a/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
@@ -262,6 +262,7 @@
 void upstream_gate::on_upstream_died(const upstream_incarnation& died) {
   ++shared_.totals.upstream_deaths;
   died_ = died;
+  isolated_token_.reset();
   std::vector<calls::suspicion> running;
   std::string requests;
   const auto add = [&](execution& item) {
