--- a/src/arbutuslb/core/gateway/crash_containment_test.cc
+++ b/src/arbutuslb/core/gateway/crash_containment_test.cc
@@ -37,6 +37,14 @@
       send_ordinary(period);
     }
   }
+  // Cuts the two domains off from each other.
+  void cut_domains() {
+    for (std::size_t one = 0; one < 5; ++one) {
+      for (std::size_t other = 5; other < 10; ++other) {
+        fleet.cuts.insert({one, other});
+      }
+    }
+  }
   // Sends ordinary requests for some time, 100 a second.
   void send_ordinary(arbutuslb::core::duration time) {
     for (arbutuslb::core::duration elapsed{}; elapsed < time; elapsed += 10ms) {
@@ -338,11 +346,7 @@
 
 Test(containment, each_side_of_a_cut_keeps_the_bound_and_shares_what_it_knows_afterwards) {
   wide_mesh mesh;
-  for (std::size_t one = 0; one < 5; ++one) {
-    for (std::size_t other = 5; other < 10; ++other) {
-      mesh.fleet.cuts.insert({one, other});
-    }
-  }
+  mesh.cut_domains();
   mesh.send_ordinary(3s);
   mesh.repeat(crashing, 30, 300ms);
   cr_assert_leq(mesh.deaths_by(crashing), 2 * max_deaths);
@@ -355,11 +359,7 @@
 
 Test(containment, a_domain_that_did_not_see_the_deaths_learns_of_them_when_its_cut_heals) {
   wide_mesh mesh;
-  for (std::size_t one = 0; one < 5; ++one) {
-    for (std::size_t other = 5; other < 10; ++other) {
-      mesh.fleet.cuts.insert({one, other});
-    }
-  }
+  mesh.cut_domains();
   mesh.send_ordinary(3s);
   for (int i = 0; i < 10; ++i) {
     mesh.fleet.call(mesh.daemons[static_cast<std::size_t>(i) % 5], host, crashing);
--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -325,6 +325,16 @@
   return daemon.core.handle(request, start);
 }
 
+// Starts requests 1 to 4, as many as the upstream has slots. Returns their attempts.
+std::vector<std::uint64_t> fill_slots(tested_daemon& daemon) {
+  std::vector<std::uint64_t> running;
+  for (std::uint64_t number = 1; number <= 4; ++number) {
+    const std::vector<gateway::action> actions = run_suspect(daemon, number, 0);
+    running.push_back(find<gateway::send_to_upstream>(actions)->attempt);
+  }
+  return running;
+}
+
 gateway::attempt_completed answered(std::uint64_t attempt) {
   gateway::attempt_completed completed{attempt, {}};
   completed.result.outcome = gateway::run_outcome::answered;
@@ -399,11 +409,7 @@
 
 Test(gate, requests_that_are_isolated_while_they_are_queued_start_one_at_a_time) {
   tested_daemon daemon;
-  std::vector<std::uint64_t> running;
-  for (std::uint64_t number = 1; number <= 4; ++number) { // all slots
-    const std::vector<gateway::action> actions = run_suspect(daemon, number, 0);
-    running.push_back(find<gateway::send_to_upstream>(actions)->attempt);
-  }
+  const std::vector<std::uint64_t> running = fill_slots(daemon);
   gateway::peer_report report;
   report.host = "10.0.0.2";
   report.process_epoch = 1;
@@ -426,11 +432,7 @@
 
 Test(gate, a_request_that_is_refused_while_it_is_queued_does_not_start) {
   tested_daemon daemon;
-  std::vector<std::uint64_t> running;
-  for (std::uint64_t number = 1; number <= 4; ++number) { // all slots
-    const std::vector<gateway::action> actions = run_suspect(daemon, number, 0);
-    running.push_back(find<gateway::send_to_upstream>(actions)->attempt);
-  }
+  const std::vector<std::uint64_t> running = fill_slots(daemon);
   run_suspect(daemon, 5, 0);
   run_suspect(daemon, 5 + 100, 3); // another request: known elsewhere to crash, refused at once
   gateway::peer_report report;
--- a/src/arbutuslb/core/gateway/rollout_test.cc
+++ b/src/arbutuslb/core/gateway/rollout_test.cc
@@ -10,7 +10,7 @@
 
 constexpr std::size_t new_daemons[] = {1, 5};
 
-// A rollout of `menu` to v2 on daemons 1 and 5, under 200 requests a second of which two have a
+// A rollout of `menu` to v2 on daemons 1 and 5, under 200 requests a second of which six have a
 // route of their own.
 struct rollout_play {
   explicit rollout_play(std::uint64_t seed = 1) : fixture(seed) {
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -24,6 +24,14 @@
   return reader.fault();
 }
 
+core::http_request get_request(const std::string& target) {
+  core::http_request request;
+  request.method = "GET";
+  request.target = target;
+  request.headers.emplace_back("Host", "x");
+  return request;
+}
+
 // An HTTP server on a free loopback port. It stores requests until a test answers them.
 struct server_fixture {
   asio::io_context loop;
@@ -300,10 +308,7 @@
   server_fixture fixture;
   client sender(fixture.loop);
   std::vector<exchange_result> ends;
-  core::http_request request;
-  request.method = "GET";
-  request.target = "/1";
-  request.headers.emplace_back("Host", "x");
+  core::http_request request = get_request("/1");
   const auto store_result = [&](exchange_result end) { ends.push_back(std::move(end)); };
   sender.send(server_fixture::free_address(), request, {}, store_result);
   fixture.run_until([&] { return ends.size() == 1; });
@@ -330,9 +335,7 @@
   std::optional<tcp::socket> peer;
   acceptor.async_accept([&](std::error_code, tcp::socket socket) { peer = std::move(socket); });
   const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
-  core::http_request request;
-  request.target = "/1";
-  request.headers.emplace_back("Host", "x");
+  core::http_request request = get_request("/1");
   for (const auto& [method, answer] :
        {std::pair<std::string, std::string>("HEAD", head), {"GET", head + "body"}}) {
     request.method = method;
@@ -359,10 +362,7 @@
   sender.connect(fixture.address, 1s, store_outcome);
   fixture.run_until([&] { return ends.size() == 2; });
   cr_assert(ends[1] == connect_outcome::connected);
-  core::http_request request;
-  request.method = "GET";
-  request.target = "/1";
-  request.headers.emplace_back("Host", "x");
+  core::http_request request = get_request("/1");
   sender.send(fixture.address, request, {}, [](const exchange_result&) {});
   fixture.run_until([&] { return fixture.requests.size() == 1; });
   cr_assert_eq(sender.connections_opened(), 2);
@@ -378,10 +378,7 @@
   options.is_matching_answer = [](const core::http_response& answer) {
     return *core::find_header(answer.headers, "Id") == "mine";
   };
-  core::http_request request;
-  request.method = "GET";
-  request.target = "/1";
-  request.headers.emplace_back("Host", "x");
+  core::http_request request = get_request("/1");
   sender.send(acceptor.local_endpoint(), request, options,
               [&](exchange_result result) { end = std::move(result); });
   std::optional<tcp::socket> peer;
@@ -450,10 +447,7 @@
     options.is_matching_answer = [](const core::http_response& answer) {
       return *core::find_header(answer.headers, "Id") == "mine";
     };
-    core::http_request request;
-    request.method = "GET";
-    request.target = "/1";
-    request.headers.emplace_back("Host", "x");
+    core::http_request request = get_request("/1");
     sender.send(server.acceptor.local_endpoint(), request, options,
                 [&](exchange_result result) { end = std::move(result); });
     fixture.run_until([&] { return end.has_value(); });
@@ -466,10 +460,7 @@
 Test(client, a_silent_connection_is_given_up_and_the_others_go_on) {
   server_fixture fixture;
   client sender(fixture.loop);
-  core::http_request request;
-  request.method = "GET";
-  request.target = "/silent";
-  request.headers.emplace_back("Host", "x");
+  core::http_request request = get_request("/silent");
   send_options impatient;
   impatient.answer_timeout = 1us;
   std::optional<exchange_result> silent;
