Failing test: a daemon that starts when the store comes back from a copy executes a refused request

Its logs, kept since: three upstreams end in 0.7 s and all daemons refuse the request. Six seconds later the daemon at 127.116.254.1 starts, 3 ms later it reads the operators' records in era 3 of the store, which has just come back from an older copy; its upstream is ready 59 ms after the start; the request arrives 157 ms after it and is executed; the first report of a peer, with the suspicion, arrives after 267 ms.

Cause: the gate of a new process waits for the store's answer, 500 ms at most, and not for a peer; a copy has no suspicions.

The test plays it without sockets and fails: four upstreams. The product is unchanged.

--- a/src/arbutuslb/core/gateway/crash_containment_test.cc
+++ b/src/arbutuslb/core/gateway/crash_containment_test.cc
@@ -412,6 +412,22 @@
   cr_assert_leq(mesh.deaths_by(crashing), max_deaths);
 }
 
+Test(containment, a_daemon_that_starts_when_the_store_comes_back_from_a_copy_waits_for_its_peers) {
+  wide_mesh mesh;
+  mesh.repeat(crashing, 10, 300ms);
+  cr_assert_eq(mesh.deaths_by(crashing), max_deaths);
+  mesh.send_ordinary(3s); // all upstreams are up again
+  mesh.fleet.restore_store(1);
+  mesh.fleet.datagram_loss = 1; // no report arrives for some time
+  mesh.fleet.restart(0);
+  mesh.fleet.run_for(20ms);
+  mesh.fleet.send_heartbeat(0, mesh.fleet.next_heartbeat(0));
+  mesh.fleet.run_for(130ms);
+  mesh.fleet.call(0, host, crashing);
+  mesh.fleet.run_for(150ms);
+  cr_assert_eq(mesh.deaths_by(crashing), max_deaths);
+}
+
 Test(containment, upstreams_that_return_get_no_more_than_their_cold_rate) {
   wide_mesh mesh;
   mesh.fleet.restart_cold_time = 3s;
