--- a/review/stand_ins/kit.h
+++ b/review/stand_ins/kit.h
@@ -735,6 +735,7 @@
     char name[] = "/tmp/arbutuslb-review-XXXXXX";
     directory = mkdtemp(name);
     signal(SIGPIPE, SIG_IGN);
+    alarm(115); // the processes of the deployment end with this program
   }
   // Ends all processes and this program; the threads of the stand-ins end with it.
   [[noreturn]] void finish(int result) {
