The evidence behind a rollout's verdict and unanswered executions are logged

Change: rollout_judged has old_calls, old_errors, new_calls, new_errors; run_unanswered names each execution without an answer while a rollout runs. No decision changes. Test: rollout::the_evidence_behind_a_verdict_and_unanswered_executions_are_logged.

--- a/src/arbutuslb/core/gateway/rollout_conductor.cc
+++ b/src/arbutuslb/core/gateway/rollout_conductor.cc
@@ -243,10 +243,16 @@
     break;
   }
   shared_.is_report_due = true;
+  const moves::cell_totals old_calls = value.evidence.total_of(old_label);
+  const moves::cell_totals new_calls = value.evidence.total_of(new_label);
   shared_.write(engine::severity::info, "rollout_judged",
                 {{"service", value.order.service},
                  {"id", std::to_string(value.id)},
-                 {"reason", verdict.reason}});
+                 {"reason", verdict.reason},
+                 {"old_calls", std::to_string(old_calls.calls)},
+                 {"old_errors", std::to_string(old_calls.errors)},
+                 {"new_calls", std::to_string(new_calls.calls)},
+                 {"new_errors", std::to_string(new_calls.errors)}});
 }
 
 void rollout_conductor::note_wait(rollout& value, const std::string& reason) {
--- a/src/arbutuslb/core/gateway/rollout_test.cc
+++ b/src/arbutuslb/core/gateway/rollout_test.cc
@@ -32,6 +32,7 @@
     fixture.fleet.order("rollout/menu", gateway::rollout_spec{"menu", "v2", time_allowed});
     const std::size_t before = fixture.fleet.runs.size();
     for (arbutuslb::core::duration elapsed{}; elapsed < time_allowed; elapsed += 10ms) {
+      on_turn(elapsed);
       for (int i = 0; i < 2; ++i) {
         const char* target = sent_ % 33 == 32 ? "/quiet/1" : "/menu/1";
         fixture.fleet.call(sent_++ % 8, "shop.example", target);
@@ -39,10 +40,17 @@
       fixture.fleet.run_for(10ms);
     }
     total = fixture.fleet.runs.size() - before;
-    for (const auto& [attempt, version] : fixture.fleet.run_versions) {
-      exposed += version == "v2" ? 1 : 0;
+    for (const std::size_t at : new_daemons) {
+      exposed += fixture.fleet.starts[at].size();
+    }
+  }
+  // Changes the upstreams of v2.
+  void change(const std::function<void(arbutuslb::fakes::upstream_behaviour&)>& change_one) {
+    for (const std::size_t at : new_daemons) {
+      change_one(fixture.fleet.upstream(at));
     }
   }
+  std::size_t allowed() const { return total / 10 + 50; }
   bool has_outcome(gateway::rollout_phase phase) const {
     const auto found = fixture.fleet.outcomes.find("menu");
     return found != fixture.fleet.outcomes.end() && found->second == phase;
@@ -54,6 +62,8 @@
 
   mesh_fixture fixture;
   arbutuslb::core::duration time_allowed = 16s;
+  // Called every 10 ms with the time since the order.
+  std::function<void(arbutuslb::core::duration)> on_turn = [](arbutuslb::core::duration) {};
   std::size_t exposed = 0; // executions by v2
   std::size_t total = 0;   // executions from the order on
 
@@ -86,6 +96,58 @@
   }
 }
 
+Test(rollout, the_evidence_behind_a_verdict_and_unanswered_executions_are_logged) {
+  rollout_play play;
+  play.change([](auto& upstream) { upstream.work = 700ms; });
+  play.run();
+  cr_assert_geq(play.count_log("rollout_judged"), 1);
+  cr_assert_geq(play.count_log("run_unanswered"), 1);
+  for (const auto& line : play.fixture.fleet.log) {
+    const bool is_verdict = line.name == "rollout_judged";
+    const bool has_calls = std::any_of(line.fields.begin(), line.fields.end(),
+                                       [](const auto& field) { return field.first == "new_calls"; });
+    cr_assert(!is_verdict || has_calls);
+  }
+}
+
+Test(rollout, a_slow_version_gets_a_small_part_of_the_requests) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    for (const arbutuslb::core::duration work : {320ms, 450ms, 640ms, 1280ms, 3000ms}) {
+      rollout_play play(seed);
+      play.time_allowed = 14s;
+      play.change([&](auto& upstream) { upstream.work = work; });
+      play.run();
+      cr_assert(play.has_outcome(gateway::rollout_phase::rolled_back));
+      cr_assert_leq(play.exposed, play.allowed(), "seed %d: %d of %d", static_cast<int>(seed),
+                    static_cast<int>(play.exposed), static_cast<int>(play.total));
+    }
+  }
+}
+
+Test(rollout, a_version_that_fails_from_a_moment_on_gets_a_small_part_of_the_requests) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    for (const arbutuslb::core::duration fails_after : {4s, 5s, 6s, 7s, 8s}) {
+      for (const bool is_slow : {false, true}) {
+        rollout_play play(seed);
+        play.time_allowed = 14s;
+        play.on_turn = [&](arbutuslb::core::duration elapsed) {
+          if (elapsed >= fails_after) {
+            play.change([&](auto& upstream) {
+              upstream.error_share = is_slow ? 0 : 0.35;
+              upstream.work = is_slow ? 640ms : 80ms;
+            });
+          }
+        };
+        play.run();
+        cr_assert(play.has_outcome(gateway::rollout_phase::rolled_back));
+        cr_assert_leq(play.exposed, play.allowed(), "seed %d, after %d s: %d of %d",
+                      static_cast<int>(seed), static_cast<int>(fails_after.count() / 1'000'000),
+                      static_cast<int>(play.exposed), static_cast<int>(play.total));
+      }
+    }
+  }
+}
+
 Test(rollout, a_sound_version_with_a_quiet_route_is_completed_in_time) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     rollout_play play(seed);
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -366,6 +366,7 @@
     record_notice(ended, *end.result.notice);
   }
   if (!is_answer) {
+    log_unanswered(ended, end.result.reason);
     return;
   }
   clear_suspicion(ended);
@@ -381,6 +382,19 @@
   }
 }
 
+void upstream_gate::log_unanswered(const execution& ended, const std::string& reason) {
+  if (ended.request.rollout_share_permille < 0) {
+    return; // no verdict depends on it
+  }
+  const std::optional<registered_upstream>& upstream = shared_.registry.upstream();
+  shared_.write(engine::severity::info, "run_unanswered",
+                {{"id", ended.request.content.attempt_id},
+                 {"route", ended.request.route},
+                 {"version", upstream ? upstream->version : ""},
+                 {"after_ms", std::to_string(to_milliseconds(shared_.now - ended.started))},
+                 {"reason", reason}});
+}
+
 void upstream_gate::record_notice(const execution& ended, const upstream_notice& notice) {
   stated_limit_.on_answer(notice.rate_limit, ended.started, shared_.now);
   const upstream_incarnation sender{ended.request.instance_id, ended.upstream_started_ms};
@@ -492,6 +506,7 @@
     record_silence(value);
   }
   tokens_by_attempt_.erase(value.attempt);
+  log_unanswered(value, "cancelled by the requester");
   remember_unfinished(std::move(value));
   executions_.erase(token);
   queue_.release(std::nullopt);
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -94,6 +94,8 @@
   bool is_departure_recorded() const;
   void send_acknowledgements(const std::string& reason);
   void record_completion(const execution& ended, const attempt_completed& end);
+  // Logs an execution without an answer while a rollout is running.
+  void log_unanswered(const execution& ended, const std::string& reason);
   // Takes over the limit or the departure that the upstream states.
   void record_notice(const execution& ended, const upstream_notice& notice);
   // Takes note of a request that the upstream has not answered.
--- a/src/arbutuslb/core/moves/evidence.cc
+++ b/src/arbutuslb/core/moves/evidence.cc
@@ -40,6 +40,15 @@
   }
 }
 
+void cell_totals::add(const cell_totals& other) {
+  calls += other.calls;
+  errors += other.errors;
+  deaths += other.deaths;
+  for (std::size_t i = 0; i < latency.size(); ++i) {
+    latency[i] += other.latency[i];
+  }
+}
+
 void cell_totals::subtract(const cell_totals& earlier) {
   calls -= std::min(calls, earlier.calls);
   errors -= std::min(errors, earlier.errors);
@@ -111,6 +120,14 @@
   return by_route;
 }
 
+cell_totals evidence_pool::total_of(const std::string& version) const {
+  cell_totals sum;
+  for (const auto& [route, cell] : totals(version, 0)) {
+    sum.add(cell);
+  }
+  return sum;
+}
+
 void evidence_pool::add_checkpoint(time_point now) {
   checkpoint current{now, {}};
   for (const auto& [reporter, report] : reports_) {
--- a/src/arbutuslb/core/moves/evidence.h
+++ b/src/arbutuslb/core/moves/evidence.h
@@ -34,6 +34,7 @@
   std::array<std::uint64_t, protocol::evidence_cell::bucket_count> latency{};
 
   void add(const protocol::evidence_cell& cell);
+  void add(const cell_totals& other);
   // Subtracts an earlier state of the same totals.
   void subtract(const cell_totals& earlier);
 };
@@ -71,6 +72,8 @@
 
   // Returns the totals of a version by route, over the shares of at least `lowest_permille`.
   std::map<std::string, cell_totals> totals(const std::string& version, int lowest_permille) const;
+  // Returns the totals of a version over all routes and shares.
+  cell_totals total_of(const std::string& version) const;
   version_capacity capacity_of(const std::string& version) const;
 
   // Stores the totals at `now` as a checkpoint for `recent_totals`. Call it about once a second.
