--- a/src/arbutuslb/runtime/order_follower_test.cc
+++ b/src/arbutuslb/runtime/order_follower_test.cc
@@ -22,7 +22,7 @@
                 values[item.key] = item.value;
               }
             },
-            [](bool, const std::string&) {}) {}
+            [this](bool is_reachable, const std::string&) { is_lost = !is_reachable; }) {}
 
   void append(const std::string& key, const std::string& value) {
     bool is_done = false;
@@ -36,6 +36,7 @@
   }
 
   std::map<std::string, std::string> values; // delivered, by key
+  bool is_lost = false;                      // the store was last reported as unreachable
   runtime::order_follower follower;
 };
 
@@ -106,3 +107,36 @@
   fixture.append("config", "2");
   cr_assert(fixture.run_until([&] { return fixture.has("config", "2"); }, max_turns));
 }
+
+// Every reader may poll for the first time while the store is silent, and a change is due 3 s after
+// the store has returned, of which the fetches of the other daemons take one.
+Test(order_follower, a_first_poll_into_a_silence_does_not_outlast_it) {
+  constexpr int max_turns = 200;
+  follower_fixture fixture;
+  fixture.append("config", "1");
+  fixture.follower.start();
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "1"); }));
+  fixture.store.faults().is_silent = true;
+  const std::uint64_t calls = fixture.store.calls();
+  fixture.follower.set_following(true);
+  cr_assert(fixture.run_until([&] { return fixture.store.calls() > calls; }));
+  fixture.store.faults().is_silent = false;
+  fixture.append("config", "2");
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "2"); }, max_turns));
+}
+
+Test(order_follower, a_retry_into_a_silence_does_not_outlast_it) {
+  constexpr int max_turns = 200;
+  follower_fixture fixture;
+  fixture.append("config", "1");
+  fixture.follower.set_following(true);
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "1"); }));
+  fixture.store.faults().is_silent = true;
+  fixture.follower.restart();
+  cr_assert(fixture.run_until([&] { return fixture.is_lost; }, 3 * max_turns));
+  const std::uint64_t calls = fixture.store.calls();
+  cr_assert(fixture.run_until([&] { return fixture.store.calls() > calls; }));
+  fixture.store.faults().is_silent = false;
+  fixture.append("config", "2");
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "2"); }, max_turns));
+}
