A bad version's exposure is bounded by its schedule, and slow executions count as evidence

Cause: the steps did not know the bound (400 to 900 permille after 30 calls and a second), and an execution counted as evidence only if it was answered: those that a caller's daemon cancelled as overdue, the slow ones, counted nowhere. Change: judge_move takes an exposure limit (settings rollouts.exposure_share, exposure_extra). Faults are reported after 60 ms instead of 250 and judged every 100 ms instead of 200.

--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -25,6 +25,10 @@
   // `cold_load_extra` requests.
   double cold_load_factor = 1.0;
   double cold_load_extra = 0.0;
+  // Requests that a version which turns out bad may receive during its rollout: a share of those of
+  // its service, plus a number.
+  double exposure_share = 0.1;
+  double exposure_extra = 50;
   int capacity_weight = 1; // capacity relative to the weakest instance; used to assign roles
   // Time within which a planned stop completes.
   duration grace_period = std::chrono::seconds{6};
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -25,6 +25,8 @@
 // Ticks update this daemon's entry in the directory at most this often.
 constexpr std::chrono::milliseconds directory_update_period{100};
 constexpr std::chrono::milliseconds evidence_period{250};
+// Evidence of faults is sent this soon after the last one.
+constexpr std::chrono::milliseconds min_evidence_interval{60};
 // The daemon that evaluates a rollout, and the one that would take over the role.
 constexpr std::size_t evidence_receivers = 2;
 constexpr std::chrono::milliseconds isolated_discovery_interval{700};
@@ -360,11 +362,13 @@
 }
 
 void gateway_core::send_evidence() {
-  if (shared_.now < next_evidence_) {
+  const bool is_due = shared_.now >= next_evidence_;
+  const bool may_be_early = shared_.now >= next_evidence_ - evidence_period + min_evidence_interval;
+  if (!is_due && !(may_be_early && gate_.take_has_evidence_of_faults())) {
     return;
   }
   next_evidence_ = shared_.now + evidence_period;
-  std::optional<protocol::evidence_report> evidence = gate_.rollout_evidence();
+  std::optional<protocol::evidence_report> evidence = gate_.report_evidence();
   if (!evidence) {
     return;
   }
--- a/src/arbutuslb/core/gateway/rollout_conductor.cc
+++ b/src/arbutuslb/core/gateway/rollout_conductor.cc
@@ -9,7 +9,7 @@
 namespace arbutuslb::core::gateway {
 namespace {
 
-constexpr std::chrono::milliseconds evaluation_interval{200};
+constexpr std::chrono::milliseconds evaluation_interval{100};
 constexpr std::chrono::seconds checkpoint_period{1};
 // Reserve at the end of the allowed time for recording the outcome.
 constexpr std::chrono::milliseconds record_reserve{2000};
@@ -226,8 +226,10 @@
   move.limits.max_latency_ratio = max_latency_ratio;
   move.limits.max_error_increase = max_error_increase;
   move.share_permille = value.share_permille;
+  const moves::exposure_limit limit{shared_.settings.exposure_share,
+                                    shared_.settings.exposure_extra, value.order.time_allowed};
   const moves::judgement verdict =
-      moves::judge_move(move, value.evidence, 0, value.last_step_at, shared_.now);
+      moves::judge_move(move, value.evidence, 0, value.last_step_at, shared_.now, limit);
   switch (verdict.kind) {
   case moves::judgement_kind::wait:
     note_wait(value, verdict.reason);
--- a/src/arbutuslb/core/gateway/rollout_test.cc
+++ b/src/arbutuslb/core/gateway/rollout_test.cc
@@ -104,8 +104,9 @@
   cr_assert_geq(play.count_log("run_unanswered"), 1);
   for (const auto& line : play.fixture.fleet.log) {
     const bool is_verdict = line.name == "rollout_judged";
-    const bool has_calls = std::any_of(line.fields.begin(), line.fields.end(),
-                                       [](const auto& field) { return field.first == "new_calls"; });
+    const bool has_calls =
+        std::any_of(line.fields.begin(), line.fields.end(),
+                    [](const auto& field) { return field.first == "new_calls"; });
     cr_assert(!is_verdict || has_calls);
   }
 }
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -367,6 +367,10 @@
   }
   if (!is_answer) {
     log_unanswered(ended, end.result.reason);
+    // A request that was interrupted by the death of its upstream is no evidence of its own.
+    if (end.result.outcome == run_outcome::unknown && !end.is_broken) {
+      record_evidence(ended, execution_end::unanswered);
+    }
     return;
   }
   clear_suspicion(ended);
@@ -375,10 +379,30 @@
   const double sample = static_cast<double>(latency.count());
   const auto [mean, is_first] = route_means_.try_emplace(ended.request.route, sample);
   mean->second += latency_weight * (sample - mean->second);
-  if (ended.request.rollout_share_permille >= 0) {
-    evidence_.record_execution(
-        ended.request.route, ended.request.rollout_share_permille,
-        has_failed ? moves::execution_outcome::error : moves::execution_outcome::good, latency);
+  record_evidence(ended, has_failed ? execution_end::error : execution_end::good);
+}
+
+execution_sample upstream_gate::sample_of(const execution& value) const {
+  execution_sample sample;
+  sample.route = value.request.route;
+  sample.share_permille = value.request.rollout_share_permille;
+  sample.target_latency = value.request.target_time_left;
+  sample.elapsed = shared_.now - value.started;
+  sample.counted_late_at = value.counted_late_at;
+  sample.is_retry = value.request.is_retry;
+  return sample;
+}
+
+void upstream_gate::record_evidence(const execution& ended, execution_end end) {
+  evidence_.on_ended(sample_of(ended), end);
+}
+
+void upstream_gate::record_late_executions() {
+  for (auto& [token, value] : executions_) {
+    if (value.attempt != 0 && value.request.rollout_share_permille >= 0) {
+      const execution_sample sample = sample_of(value);
+      value.counted_late_at = evidence_.on_running(sample) ? sample.elapsed : value.counted_late_at;
+    }
   }
 }
 
@@ -507,6 +531,7 @@
   }
   tokens_by_attempt_.erase(value.attempt);
   log_unanswered(value, "cancelled by the requester");
+  record_evidence(value, execution_end::cancelled);
   remember_unfinished(std::move(value));
   executions_.erase(token);
   queue_.release(std::nullopt);
@@ -532,6 +557,7 @@
     advance_departure();
   }
   mean_in_flight_ += in_flight_weight * (queue_.in_flight() - mean_in_flight_);
+  record_late_executions();
 }
 
 void upstream_gate::describe(peer_report& report) {
@@ -559,17 +585,14 @@
   report.rate_limit = rate_limit();
 }
 
-std::optional<protocol::evidence_report> upstream_gate::rollout_evidence() {
+std::optional<protocol::evidence_report> upstream_gate::report_evidence() {
   const std::optional<registered_upstream>& upstream = shared_.registry.upstream();
   const rollout_conductor::rollout* rollout =
       upstream ? rollouts_.find(upstream->service) : nullptr;
   if (rollout == nullptr || rollout->phase != rollout_phase::running) {
     return std::nullopt;
   }
-  if (evidence_rollout_ != rollout->number) {
-    evidence_rollout_ = rollout->number;
-    evidence_ = {};
-  }
+  evidence_.begin(rollout->number);
   protocol::evidence_report evidence;
   evidence.move_id = rollout->id;
   evidence.version = rollout_conductor::label_of(*rollout, upstream->version);
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -15,6 +15,7 @@
 
 #include "arbutuslb/core/gateway/gateway_context.h"
 #include "arbutuslb/core/gateway/rollout_conductor.h"
+#include "arbutuslb/core/gateway/rollout_evidence.h"
 #include "arbutuslb/core/gateway/run_queue.h"
 #include "arbutuslb/core/gateway/slot_limit.h"
 #include "arbutuslb/core/gateway/stated_rate_limit.h"
@@ -55,7 +56,9 @@
   // Sets the fields of the report that describe the upstream.
   void describe(peer_report& report);
   // Returns the evidence for the running rollout of the local service; nothing if none is running.
-  std::optional<protocol::evidence_report> rollout_evidence();
+  std::optional<protocol::evidence_report> report_evidence();
+  // Returns true if the evidence shows faults that were not there at the last call.
+  bool take_has_evidence_of_faults() { return evidence_.take_has_faults(); }
 
 private:
   // A queued or running request.
@@ -70,6 +73,7 @@
     time_point start_by{};      // latest useful start
     calls::suspicion suspicion; // as known when it was started
     upstream_incarnation upstream() const { return {request.instance_id, upstream_started_ms}; }
+    duration counted_late_at{};     // elapsed time at which it was counted as late; zero: never
     bool is_abandoned = false;      // the requester has disconnected; the result is not sent
     bool is_behind_suspect = false; // in `held_suspects_`
   };
@@ -94,6 +98,11 @@
   bool is_departure_recorded() const;
   void send_acknowledgements(const std::string& reason);
   void record_completion(const execution& ended, const attempt_completed& end);
+  // Counts an execution that has ended as evidence for the running rollout.
+  void record_evidence(const execution& ended, execution_end end);
+  // Counts the executions that have become late.
+  void record_late_executions();
+  execution_sample sample_of(const execution& value) const;
   // Logs an execution without an answer while a rollout is running.
   void log_unanswered(const execution& ended, const std::string& reason);
   // Takes over the limit or the departure that the upstream states.
@@ -178,8 +187,7 @@
   double failed_share_ = 0;                    // moving average of failed requests, 0 to 1
   bool was_withdrawn_ = false;
   // Evidence for the running rollout.
-  std::uint64_t evidence_rollout_ = 0; // number of the rollout that `evidence_` is of
-  moves::evidence_counter evidence_;
+  rollout_evidence evidence_;
   double mean_in_flight_ = 0;
 };
 
--- a/src/arbutuslb/core/moves/evidence.cc
+++ b/src/arbutuslb/core/moves/evidence.cc
@@ -34,6 +34,7 @@
 void cell_totals::add(const evidence_cell& cell) {
   calls += cell.calls;
   errors += cell.errors;
+  late += cell.late;
   deaths += cell.deaths;
   for (std::size_t i = 0; i < latency.size(); ++i) {
     latency[i] += cell.latency[i];
@@ -43,6 +44,7 @@
 void cell_totals::add(const cell_totals& other) {
   calls += other.calls;
   errors += other.errors;
+  late += other.late;
   deaths += other.deaths;
   for (std::size_t i = 0; i < latency.size(); ++i) {
     latency[i] += other.latency[i];
@@ -52,29 +54,48 @@
 void cell_totals::subtract(const cell_totals& earlier) {
   calls -= std::min(calls, earlier.calls);
   errors -= std::min(errors, earlier.errors);
+  late -= std::min(late, earlier.late);
   deaths -= std::min(deaths, earlier.deaths);
   for (std::size_t i = 0; i < latency.size(); ++i) {
     latency[i] -= std::min(latency[i], earlier.latency[i]);
   }
 }
 
-void evidence_counter::record_execution(const std::string& route, int share_permille,
-                                        execution_outcome outcome, duration latency) {
-  std::vector<evidence_cell>::iterator cell = find_cell(cells_, route, share_permille);
-  if (cell == cells_.end()) {
-    evidence_cell added;
-    added.route = route;
-    added.share_permille = share_permille;
-    cell = cells_.insert(cells_.end(), added);
-  }
+evidence_cell& evidence_counter::cell_of(const std::string& route, int share_permille) {
   changed_cells_.insert({route, share_permille});
+  const std::vector<evidence_cell>::iterator found = find_cell(cells_, route, share_permille);
+  if (found != cells_.end()) {
+    return *found;
+  }
+  evidence_cell added;
+  added.route = route;
+  added.share_permille = share_permille;
+  return cells_.emplace_back(std::move(added));
+}
+
+void evidence_counter::record_execution(const std::string& route, int share_permille,
+                                        execution_outcome outcome, duration latency, bool is_late) {
+  evidence_cell& cell = cell_of(route, share_permille);
   if (outcome == execution_outcome::death) {
-    ++cell->deaths;
+    ++cell.deaths;
     return;
   }
-  ++cell->calls;
-  cell->errors += outcome == execution_outcome::error ? 1 : 0;
-  ++cell->latency[latency_bucket(latency)];
+  ++cell.calls;
+  cell.errors += outcome == execution_outcome::error ? 1 : 0;
+  cell.late += is_late ? 1 : 0;
+  ++cell.latency[latency_bucket(latency)];
+}
+
+void evidence_counter::record_late(const std::string& route, int share_permille, duration elapsed) {
+  record_execution(route, share_permille, execution_outcome::good, elapsed, true);
+}
+
+void evidence_counter::amend_late(const std::string& route, int share_permille, duration counted_at,
+                                  execution_outcome outcome, duration latency) {
+  evidence_cell& cell = cell_of(route, share_permille);
+  cell.errors += outcome == execution_outcome::error ? 1 : 0;
+  --cell.latency[latency_bucket(counted_at)];
+  ++cell.latency[latency_bucket(latency)];
 }
 
 std::vector<evidence_cell> evidence_counter::take_changed() {
@@ -158,6 +179,23 @@
   return recent;
 }
 
+double evidence_pool::recent_rate(time_point start, time_point now) const {
+  constexpr duration min_window = std::chrono::milliseconds{500};
+  std::uint64_t calls = 0;
+  std::set<std::string> versions;
+  for (const auto& [reporter, report] : reports_) {
+    versions.insert(report.version);
+  }
+  for (const std::string& version : versions) {
+    for (const auto& [route, cell] : recent_totals(version)) {
+      calls += cell.calls;
+    }
+  }
+  const time_point since = checkpoints_.empty() ? start : checkpoints_.front().at;
+  const duration window = std::max(min_window, now - since);
+  return static_cast<double>(calls) / std::chrono::duration<double>(window).count();
+}
+
 version_capacity evidence_pool::capacity_of(const std::string& version) const {
   std::map<member_id, const evidence_report*> latest;
   for (const auto& [reporter, report] : reports_) {
--- a/src/arbutuslb/core/moves/evidence.h
+++ b/src/arbutuslb/core/moves/evidence.h
@@ -30,6 +30,7 @@
 struct cell_totals {
   std::uint64_t calls = 0;
   std::uint64_t errors = 0;
+  std::uint64_t late = 0;
   std::uint64_t deaths = 0;
   std::array<std::uint64_t, protocol::evidence_cell::bucket_count> latency{};
 
@@ -48,12 +49,19 @@
 public:
   // Counts the outcome of one call. A death is not counted as a call, and its latency is ignored.
   void record_execution(const std::string& route, int share_permille, execution_outcome outcome,
-                        duration latency);
+                        duration latency, bool is_late = false);
+  // Counts a call that is still in execution as late; `elapsed` is a lower bound of its latency.
+  void record_late(const std::string& route, int share_permille, duration elapsed);
+  // The call that was counted as late at `counted_at` has ended.
+  void amend_late(const std::string& route, int share_permille, duration counted_at,
+                  execution_outcome outcome, duration latency);
   const std::vector<protocol::evidence_cell>& cells() const noexcept { return cells_; }
   // Returns the cells that have changed since the last call of this function.
   std::vector<protocol::evidence_cell> take_changed();
 
 private:
+  protocol::evidence_cell& cell_of(const std::string& route, int share_permille);
+
   std::vector<protocol::evidence_cell> cells_;
   std::set<std::pair<std::string, int>> changed_cells_; // route and share
 };
@@ -75,6 +83,9 @@
   // Returns the totals of a version over all routes and shares.
   cell_totals total_of(const std::string& version) const;
   version_capacity capacity_of(const std::string& version) const;
+  // Returns the calls of all versions per second since the oldest checkpoint within
+  // `recent_window`, or since `start` if there is none.
+  double recent_rate(time_point start, time_point now) const;
 
   // Stores the totals at `now` as a checkpoint for `recent_totals`. Call it about once a second.
   void add_checkpoint(time_point now);
--- a/src/arbutuslb/core/moves/judge.cc
+++ b/src/arbutuslb/core/moves/judge.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 
 namespace arbutuslb::core::moves {
 namespace {
@@ -19,9 +20,28 @@
 // Calls are slow if they take longer than the allowed latency ratio times this quantile of the old
 // version's latency.
 constexpr double slow_quantile = 0.9;
+// Increase of the fraction of late calls that is not a fault.
+constexpr double max_late_increase = 0.10;
 // Deaths of the new version's upstreams are a fault if they exceed the sum of the old version's
 // deaths and the deaths explained by poison requests by at least this number.
 constexpr std::uint64_t unexplained_deaths_threshold = 3;
+// Fractions of the exposure limit that a fault may use which begins with a step: below full share,
+// at full share, and if the move could not be completed in time otherwise.
+constexpr double planned_exposure = 0.6;
+constexpr double planned_full_share_exposure = 0.85;
+constexpr double late_exposure = 1.0;
+// Time from a faulty call until its evidence has been reported, judged, and answered by a rollback
+// on all daemons.
+constexpr std::chrono::milliseconds rollback_delay{350};
+// A fault shows after some calls have ended: their number, and the mean latency of the calls.
+constexpr double calls_to_detect = 12;
+constexpr std::array<int, 5> limited_steps_permille{10, 50, 150, 400, 1000};
+// The first share with an exposure limit. The steps after it are short.
+constexpr int limited_first_share_permille = 50;
+// Calls of the new version that are wanted by the end of the first step.
+constexpr double wanted_first_calls = 40;
+// Time between the end of a short step's minimum time and the next step.
+constexpr std::chrono::milliseconds limited_evidence_delay{250};
 // The concurrency limits of the new version's upstreams grow with use, so a step may require up to
 // this multiple of their current sum.
 constexpr double limit_growth_factor = 2.0;
@@ -80,6 +100,12 @@
   return {mean, std::max(bucket_width * bucket_width, squares / count - mean * mean)};
 }
 
+duration mean_latency_of(const cell_totals& cell) {
+  constexpr double first_bucket_us = 250.0;
+  return duration{
+      static_cast<duration::rep>(first_bucket_us * std::exp(log_latency_of(cell).mean))};
+}
+
 std::string mean_latency_fault(const comparison& compared) {
   const log_latency old_latency = log_latency_of(compared.old_totals);
   const log_latency new_latency = log_latency_of(compared.new_totals);
@@ -134,6 +160,24 @@
          percent(old_slow_calls, compared.old_totals.calls) + " on the old version";
 }
 
+// Finds new versions that are slow by their late calls, which count as soon as they are late.
+std::string late_fault(const comparison& compared) {
+  if (compared.new_totals.late < min_errors || compared.old_totals.calls < min_route_calls) {
+    return {};
+  }
+  const proportion_interval old_interval =
+      wilson_interval(compared.old_totals.late, compared.old_totals.calls, confidence_z);
+  const proportion_interval new_interval =
+      wilson_interval(compared.new_totals.late, compared.new_totals.calls, confidence_z);
+  if (new_interval.low <= old_interval.high + max_late_increase) {
+    return {};
+  }
+  return "late calls on route " + compared.route + ": " +
+         percent(compared.new_totals.late, compared.new_totals.calls) + " of " +
+         std::to_string(compared.new_totals.calls) + ", against " +
+         percent(compared.old_totals.late, compared.old_totals.calls) + " on the old version";
+}
+
 std::string latency_fault(const comparison& compared) {
   if (compared.old_totals.calls < min_route_calls || compared.new_totals.calls < min_route_calls) {
     return {};
@@ -153,6 +197,9 @@
     const comparison compared{value, route, found == old_totals.end() ? no_calls : found->second,
                               cell};
     std::string fault = error_fault(compared);
+    if (fault.empty()) {
+      fault = late_fault(compared);
+    }
     if (fault.empty()) {
       fault = latency_fault(compared);
     }
@@ -212,14 +259,57 @@
   return fault.empty() ? death_fault(value, pool, poison_requests) : fault;
 }
 
-int next_share(int share) {
-  for (const int step : share_steps_permille) {
-    if (step > share) {
-      return step;
+// The steps of a move and their times.
+class schedule {
+public:
+  schedule(const move& value, bool is_limited) : move_(value), is_limited_(is_limited) {}
+
+  bool is_limited() const { return is_limited_; }
+  int next_share(int share) const {
+    for (const int step : steps()) {
+      if (step > share) {
+        return step;
+      }
     }
+    return share_steps_permille.back();
+  }
+  // Returns the share up to which a move with an exposure limit remains as long as it can.
+  bool is_held(int share) const { return is_limited_ && share <= max_first_share_permille; }
+  duration min_time_at(int share) const {
+    if (is_limited_) {
+      const duration total = move_.deadline - move_.started;
+      return std::max<duration>(total / 24, min_limited_step_time);
+    }
+    return share == observation_share_permille ? observation_time(move_) : step_time(move_);
+  }
+  // Returns the time that the steps from `share` on take at least.
+  duration remaining_time_from(int share) const {
+    const duration delay =
+        is_limited_ ? duration{limited_evidence_delay} : duration{evidence_delay};
+    duration needed{};
+    for (const int step : steps()) {
+      needed += step >= share ? min_time_at(step) + delay : duration::zero();
+    }
+    return needed;
+  }
+  bool has_time_for(int share, time_point now) const {
+    return now + remaining_time_from(share) < move_.deadline;
+  }
+  // Returns when the first step of a move with an exposure limit ends; a reserve remains.
+  time_point hold_end() const {
+    const duration reserve = (move_.deadline - move_.started) / 12;
+    return move_.deadline - reserve - remaining_time_from(next_share(max_first_share_permille));
   }
-  return share_steps_permille.back();
-}
+
+private:
+  std::span<const int> steps() const {
+    return is_limited_ ? std::span<const int>(limited_steps_permille)
+                       : std::span<const int>(share_steps_permille);
+  }
+
+  const move& move_;
+  bool is_limited_;
+};
 
 // Returns the share at which the new version is expected to execute `min_step_calls` within the
 // minimum time of a step.
@@ -238,16 +328,14 @@
                     max_first_share_permille);
 }
 
-// Returns the time that the steps from `share` on take at least.
-duration remaining_time_from(const move& value, int share) {
-  duration needed{};
-  for (const int step : share_steps_permille) {
-    if (step >= share) {
-      needed += step == observation_share_permille ? observation_time(value) : step_time(value);
-      needed += evidence_delay;
-    }
-  }
-  return needed;
+// Returns the share at which the new version is expected to execute `wanted_first_calls` until the
+// hold ends.
+int limited_first_share(double calls_per_second, duration hold_time) {
+  const double expected_calls = calls_per_second * std::chrono::duration<double>(hold_time).count();
+  constexpr double permille = 1000.0;
+  const double share = permille * wanted_first_calls / std::max(1.0, expected_calls);
+  return std::clamp(static_cast<int>(std::ceil(share)), limited_first_share_permille,
+                    max_first_share_permille);
 }
 
 // Returns a route that has traffic but fewer than `min_step_calls` of the new version, or an empty
@@ -264,22 +352,72 @@
   return {};
 }
 
-// Returns the route for whose calls the next step waits, "any route" if there are too few calls at
-// the current share on all routes together, or an empty string.
-std::string route_without_evidence(const move& value, const evidence_pool& pool, time_point now) {
-  std::uint64_t calls_at_step = 0;
-  for (const auto& [route, cell] : pool.totals(value.to, comparison_share(value))) {
-    calls_at_step += cell.calls;
+std::uint64_t calls_from_share(const move& value, const evidence_pool& pool, int share) {
+  std::uint64_t calls = 0;
+  for (const auto& [route, cell] : pool.totals(value.to, share)) {
+    calls += cell.calls;
+  }
+  return calls;
+}
+
+// Returns true if there are enough calls of the new version for a step.
+bool has_enough_calls(const move& value, const evidence_pool& pool, const schedule& plan,
+                      time_point now) {
+  const std::uint64_t calls_at_step = calls_from_share(value, pool, comparison_share(value));
+  if (!plan.is_limited()) {
+    return calls_at_step >= min_step_calls;
+  }
+  if (!plan.has_time_for(plan.next_share(value.share_permille), now)) {
+    return calls_at_step >= min_errors;
   }
-  if (calls_at_step < min_step_calls) {
+  return calls_at_step >= min_limited_step_calls &&
+         calls_from_share(value, pool, 0) >= min_step_calls;
+}
+
+// Returns the route for whose calls the next step waits, "any route" if there are too few calls on
+// all routes together, or an empty string.
+std::string route_without_evidence(const move& value, const evidence_pool& pool,
+                                   const schedule& plan, time_point now) {
+  if (!has_enough_calls(value, pool, plan, now)) {
     return "any route";
   }
-  const int share = next_share(value.share_permille);
+  const int share = plan.next_share(value.share_permille);
   const bool is_step_to_high_share =
       value.share_permille < high_share_permille && share >= high_share_permille;
-  const bool has_time_to_wait = now + remaining_time_from(value, share) < value.deadline;
-  return is_step_to_high_share && has_time_to_wait ? route_with_few_calls(value, pool)
-                                                   : std::string{};
+  return is_step_to_high_share && plan.has_time_for(share, now) ? route_with_few_calls(value, pool)
+                                                                : std::string{};
+}
+
+// Returns why a version that fails from the step to `share` on would exceed the exposure limit, or
+// an empty string.
+std::string exposure_excess(const move& value, const evidence_pool& pool, const schedule& plan,
+                            const std::optional<exposure_limit>& limit, int share, time_point now) {
+  if (!limit) {
+    return {};
+  }
+  const cell_totals old_calls = pool.total_of(value.from);
+  const cell_totals new_calls = pool.total_of(value.to);
+  exposure_forecast forecast;
+  forecast.limit = *limit;
+  forecast.exposed_calls = static_cast<double>(new_calls.calls);
+  forecast.total_calls = static_cast<double>(old_calls.calls + new_calls.calls);
+  forecast.calls_per_second = pool.recent_rate(value.started, now);
+  forecast.time_left = value.started + limit->time_allowed - now;
+  const double new_calls_per_second =
+      std::max(1.0, forecast.calls_per_second * share / share_steps_permille.back());
+  const duration time_to_detect{std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(calls_to_detect / new_calls_per_second))};
+  forecast.reaction_time = rollback_delay + mean_latency_of(new_calls) + time_to_detect;
+  const bool is_full = share == share_steps_permille.back();
+  const double fraction = !plan.has_time_for(share, now) ? late_exposure
+                          : is_full                      ? planned_full_share_exposure
+                                                         : planned_exposure;
+  if (forecast.allows_step(share, fraction)) {
+    return {};
+  }
+  return "exposure: a fault at " + std::to_string(share) + " permille would reach " +
+         std::to_string(static_cast<int>(forecast.calls_after_fault_at(share))) + " calls of " +
+         std::to_string(static_cast<int>(forecast.allowed_calls())) + " allowed";
 }
 
 // Returns why the new version lacks the capacity for `share`, or an empty string.
@@ -299,12 +437,28 @@
          " concurrent requests, the next step needs " + std::to_string(static_cast<int>(demand));
 }
 
-judgement wait_judgement(std::string reason, const move& value, time_point now) {
-  const bool is_late =
-      now + remaining_time_from(value, next_share(value.share_permille)) > value.deadline;
+judgement wait_judgement(std::string reason, const move& value, const schedule& plan,
+                         time_point now) {
+  const bool is_late = !plan.has_time_for(plan.next_share(value.share_permille), now);
   return {judgement_kind::wait, 0, std::move(reason), is_late};
 }
 
+// Judges a move whose new version has no calls yet.
+judgement judge_start(const move& value, const evidence_pool& pool, const schedule& plan,
+                      time_point step_started_at, time_point now) {
+  const std::string shortage = capacity_shortage(value, pool, share_steps_permille.front());
+  if (!shortage.empty()) {
+    return wait_judgement(shortage, value, plan, now);
+  }
+  if (now - step_started_at < traffic_measurement_time) {
+    return wait_judgement("measuring the traffic", value, plan, now);
+  }
+  const int share = plan.is_limited() ? limited_first_share(pool.recent_rate(value.started, now),
+                                                            plan.hold_end() - now)
+                                      : first_share(value, pool, now - step_started_at);
+  return {judgement_kind::step, share, "first step", false};
+}
+
 } // namespace
 
 proportion_interval wilson_interval(std::uint64_t hits, std::uint64_t trials, double z) {
@@ -330,43 +484,41 @@
 }
 
 judgement judge_move(const move& value, const evidence_pool& pool, std::size_t poison_requests,
-                     time_point step_started_at, time_point now) {
+                     time_point step_started_at, time_point now,
+                     const std::optional<exposure_limit>& limit) {
+  const schedule plan(value, limit.has_value());
   const std::string fault = find_fault(value, pool, poison_requests);
   if (!fault.empty()) {
     return {judgement_kind::brake, 0, fault, false};
   }
-  if (value.share_permille == 0) {
-    const std::string shortage = capacity_shortage(value, pool, share_steps_permille.front());
-    if (!shortage.empty() && now < value.deadline) {
-      return wait_judgement(shortage, value, now);
-    }
-    if (now < value.deadline && now - step_started_at < traffic_measurement_time) {
-      return wait_judgement("measuring the traffic", value, now);
-    }
-    if (now < value.deadline) {
-      return {judgement_kind::step, first_share(value, pool, now - step_started_at), "first step",
-              false};
-    }
+  const bool is_in_time = now < value.deadline;
+  if (value.share_permille == 0 && is_in_time) {
+    return judge_start(value, pool, plan, step_started_at, now);
+  }
+  if (plan.is_held(value.share_permille) && now < plan.hold_end()) {
+    return wait_judgement("the share is held while time is left", value, plan, now);
   }
-  const bool is_observation_step = value.share_permille == observation_share_permille;
   const bool is_full_share = value.share_permille == share_steps_permille.back();
-  const duration required_time = is_observation_step ? observation_time(value) : step_time(value);
   const std::string route_lacking_calls =
-      is_full_share ? "" : route_without_evidence(value, pool, now);
-  if (now - step_started_at >= required_time && route_lacking_calls.empty()) {
+      is_full_share ? "" : route_without_evidence(value, pool, plan, now);
+  const bool is_step_over = now - step_started_at >= plan.min_time_at(value.share_permille);
+  if (is_step_over && route_lacking_calls.empty()) {
     if (is_full_share) {
       return {judgement_kind::done, 0, "full share held without a fault", now > value.deadline};
     }
-    const int share = next_share(value.share_permille);
-    const std::string shortage = capacity_shortage(value, pool, share);
-    if (shortage.empty()) {
+    const int share = plan.next_share(value.share_permille);
+    std::string obstacle = capacity_shortage(value, pool, share);
+    if (obstacle.empty()) {
+      obstacle = exposure_excess(value, pool, plan, limit, share, now);
+    }
+    if (obstacle.empty()) {
       return {judgement_kind::step, share, "evidence is sufficient", false};
     }
-    if (now < value.deadline) {
-      return wait_judgement(shortage, value, now);
+    if (is_in_time) {
+      return wait_judgement(obstacle, value, plan, now);
     }
   }
-  if (now >= value.deadline && !is_full_share) {
+  if (!is_in_time && !is_full_share) {
     return {judgement_kind::brake, 0,
             "the stated time has passed at " + std::to_string(value.share_permille) + " permille" +
                 (route_lacking_calls.empty() ? "" : ": too few calls on " + route_lacking_calls),
@@ -375,7 +527,7 @@
   return wait_judgement(route_lacking_calls.empty()
                             ? "the minimum time of the step has not passed"
                             : "evidence: too few calls on " + route_lacking_calls,
-                        value, now);
+                        value, plan, now);
 }
 
 judgement judge_move_at_once(const move& value, const evidence_pool& pool, time_point now) {
--- a/src/arbutuslb/core/moves/judge.h
+++ b/src/arbutuslb/core/moves/judge.h
@@ -8,13 +8,19 @@
 // is low and only while time is left. After its deadline, a move below full share is rolled back
 // unless its next step is due.
 //
+// With an exposure limit, the share stays low for as long as the stated time permits, so that a
+// fault that begins late is found there, and then rises in few short steps. A step is taken only if
+// a version that fails from this step on is rolled back within the limit.
+//
 //   judgement verdict = judge_move(move, pool, poison_requests, step_started_at, now);
 #pragma once
 
 #include "arbutuslb/core/config/model.h"
 #include "arbutuslb/core/moves/evidence.h"
+#include "arbutuslb/core/moves/exposure.h"
 
 #include <array>
+#include <optional>
 
 namespace arbutuslb::core::moves {
 
@@ -42,6 +48,11 @@
 // share of that step.
 inline constexpr std::chrono::seconds traffic_measurement_time{2};
 inline constexpr int max_first_share_permille = 100;
+// Lower bound of the time of a step above the first share in a move with an exposure limit.
+inline constexpr std::chrono::milliseconds min_limited_step_time{800};
+// With an exposure limit, calls that such a step requires at its share, besides `min_step_calls` in
+// the whole move.
+inline constexpr std::uint64_t min_limited_step_calls = 10;
 
 // `brake` rolls the move back. `step` raises the share.
 enum class judgement_kind : std::uint8_t { wait, brake, step, done };
@@ -57,7 +68,8 @@
 // the number of requests that are known to crash any upstream; deaths that they explain do not
 // count against the new version.
 judgement judge_move(const config::move& value, const evidence_pool& pool,
-                     std::size_t poison_requests, time_point step_started_at, time_point now);
+                     std::size_t poison_requests, time_point step_started_at, time_point now,
+                     const std::optional<exposure_limit>& limit = std::nullopt);
 
 // Returns the minimum time of a step, which depends on the time from the move's start to its
 // deadline.
--- a/src/arbutuslb/core/protocol/messages.h
+++ b/src/arbutuslb/core/protocol/messages.h
@@ -187,6 +187,8 @@
   int share_permille = 0;
   std::uint64_t calls = 0;
   std::uint64_t errors = 0;
+  // Calls that took, or have been taking, much longer than the route's target latency.
+  std::uint64_t late = 0;
   std::uint64_t deaths = 0; // exits of the upstream while it executed such calls
   std::array<std::uint64_t, bucket_count> latency{}; // calls by latency bucket
   friend bool operator==(const evidence_cell&, const evidence_cell&) = default;
--- a/src/arbutuslb/runtime/gateway_settings.cc
+++ b/src/arbutuslb/runtime/gateway_settings.cc
@@ -14,6 +14,7 @@
 constexpr int max_port = 65535;
 constexpr double max_retry_ratio = 10.0;
 constexpr double max_retry_extra = 1e6;
+constexpr double max_exposure_extra = 1e6;
 constexpr double max_cold_load_factor = 10.0;
 constexpr double max_cold_load_extra = 1000.0;
 // Resources of the smallest known instances; the capacity weight is a multiple of them.
@@ -79,6 +80,13 @@
   settings.core.retry_extra =
       retry_reader.optional_number("extra", settings.core.retry_extra, 0.0, max_retry_extra);
   retry_reader.finish();
+  const object_reader::element rollouts = reader.optional_object("rollouts");
+  object_reader rollout_reader(*rollouts.value, rollouts.place, findings);
+  settings.core.exposure_share =
+      rollout_reader.optional_number("exposure_share", settings.core.exposure_share, 0.0, 1.0);
+  settings.core.exposure_extra = rollout_reader.optional_number(
+      "exposure_extra", settings.core.exposure_extra, 0.0, max_exposure_extra);
+  rollout_reader.finish();
   const object_reader::element limits = reader.optional_object("instance_limits");
   object_reader limits_reader(*limits.value, limits.place, findings);
   const double cores = limits_reader.optional_number("cores", reference_cores, 0.0, max_cores);
--- a/src/arbutuslb/runtime/wire/evidence_codec.cc
+++ b/src/arbutuslb/runtime/wire/evidence_codec.cc
@@ -23,6 +23,7 @@
     converted.set_calls(cell.calls);
     converted.set_errors(cell.errors);
     converted.set_deaths(cell.deaths);
+    converted.set_late(cell.late);
     converted.mutable_latency()->Add(cell.latency.begin(), cell.latency.end());
   }
 }
@@ -42,6 +43,7 @@
     converted.calls = cell.calls();
     converted.errors = cell.errors();
     converted.deaths = cell.deaths();
+    converted.late = cell.late();
     std::copy(cell.latency().begin(), cell.latency().end(), converted.latency.begin());
     to.cells.push_back(std::move(converted));
   }
