A silence of the store no longer hides a change from all readers at once

Cause: a read that the store left unanswered was waited for until its time-out, 4 s for a poll, on every reader alike; the readers that took the role over sent their first poll into the same silence. Change: beside a read that has not been answered 0.5 s after it should have been, reads that do not wait are sent, three at most, and the first answer counts. The first read of a reader does not wait for a record. The first reader of a domain polls for 1.2 s, the other for 2.5 s. The end that a daemon reports is that of what it has applied. A daemon without a configuration fetches from the beginning.

--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -169,6 +169,7 @@
 // Starts or stops following the operators' log.
 struct follow_operator_log {
   bool is_enabled = false;
+  duration poll_wait{}; // time that a read waits for a record
 };
 // Fetches the operator records from `from` on from a peer.
 struct fetch_operator_records {
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -39,6 +39,10 @@
 // Daemons of each failure domain that read the operators' log; the others fetch from their peers.
 constexpr std::size_t readers_per_domain = 2;
 constexpr std::chrono::milliseconds reader_update_period{200};
+// Time that a poll of the first reader of a domain waits for a record, and of the others. A poll
+// into a silence of the store is given up after that time, and then a change is due soon.
+constexpr std::chrono::milliseconds first_reader_poll_wait{1200};
+constexpr std::chrono::milliseconds other_reader_poll_wait{2500};
 // A new process waits for the reports of its peers before it takes the reader role.
 constexpr std::chrono::milliseconds initial_reader_delay{500};
 // The store is treated as reachable again after this time, so that the daemon retries it.
@@ -262,18 +266,28 @@
   const bool is_selected =
       !shared_.is_stopping &&
       std::find(readers.begin(), readers.end(), shared_.settings.host) != readers.end();
+  const duration poll_wait = is_selected && readers.front() == shared_.settings.host
+                                 ? first_reader_poll_wait
+                                 : other_reader_poll_wait;
+  if (is_selected && is_reader_ && poll_wait != reader_poll_wait_) {
+    reader_poll_wait_ = poll_wait;
+    shared_.add_action(follow_operator_log{true, poll_wait});
+  }
   if (is_selected != is_reader_) {
     is_reader_ = is_selected;
+    reader_poll_wait_ = poll_wait;
     shared_.write(engine::severity::info, "reader_changed",
                   {{"is_reader", is_reader_ ? "true" : "false"},
                    {"era", std::to_string(shared_.operator_records.end().era)},
                    {"orders_end", std::to_string(shared_.operator_records.end().offset)}});
-    shared_.add_action(follow_operator_log{is_reader_});
+    shared_.add_action(follow_operator_log{is_reader_, poll_wait});
   }
 }
 
 void gateway_core::fetch_missing_records() {
-  const log_position end = shared_.operator_records.end();
+  // The log may end with a configuration that cannot be decoded; peers have the one before.
+  const log_position end =
+      shared_.operator_records.configuration() ? shared_.operator_records.end() : log_position{};
   if (!shared_.directory.peer_with_newer_records(end, true, shared_.now, shared_.random)) {
     behind_since_ = {};
     return;
--- a/src/arbutuslb/core/gateway/gateway_core.h
+++ b/src/arbutuslb/core/gateway/gateway_core.h
@@ -91,6 +91,7 @@
   std::uint64_t bundles_sent_ = 0;
   time_point next_contact_expiry_{};
   bool is_reader_ = false;
+  duration reader_poll_wait_{}; // of this daemon, while it is a reader
   bool is_store_reachable_ = true;
   time_point store_unreachable_since_{};
   time_point behind_since_{}; // a peer has newer operator records since; zero if none has
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -158,7 +158,7 @@
     }
     void operator()(const gateway::send_reports& action) const { host.send_reports(action); }
     void operator()(const gateway::follow_operator_log& action) const {
-      host.follower.set_following(action.is_enabled);
+      host.follower.set_following(action.is_enabled, action.poll_wait);
     }
     void operator()(const gateway::fetch_operator_records& action) const {
       host.fetch_operator_records(action);
@@ -346,7 +346,8 @@
                    {"end", std::to_string(read.end_offset)}});
     }
     gateway::operator_records_received operator_records;
-    operator_records.end = {read.era, read.end_offset};
+    // A read may be cut before the end of the log; peers fetch only what comes after `end`.
+    operator_records.end = {read.era, is_complete ? read.end_offset : read.next_offset};
     operator_records.is_complete = is_complete;
     std::map<std::string, std::uint64_t> newest; // offset by key
     for (const platform::store_record& record : read.records) {
--- a/src/arbutuslb/runtime/order_follower.cc
+++ b/src/arbutuslb/runtime/order_follower.cc
@@ -7,9 +7,10 @@
 namespace arbutuslb::runtime {
 namespace {
 
-// A poll that is never answered is noticed after this time and the timeout of a call, before a
-// change is due that was made when the store had been undisturbed for its stability window.
-constexpr std::chrono::milliseconds long_poll_wait{2500};
+// A read is repeated on another connection if it has not been answered this long after it should
+// have been. A slow store answers within that time.
+constexpr std::chrono::milliseconds hedge_delay{500};
+constexpr std::size_t max_pending_reads = 3;
 constexpr std::chrono::milliseconds initial_backoff{150};
 constexpr std::chrono::milliseconds max_backoff{1200};
 // Records that are written in quick succession are read together.
@@ -21,19 +22,22 @@
                                std::uint64_t seed, records_handler on_records,
                                reachability_handler on_reachability_change)
     : store_(store), random_(seed), on_records_(std::move(on_records)),
-      on_reachability_change_(std::move(on_reachability_change)), timer_(loop) {}
+      on_reachability_change_(std::move(on_reachability_change)), timer_(loop), hedge_timer_(loop) {
+}
 
 void order_follower::start() {
   read_newest();
 }
 
-void order_follower::set_following(bool is_enabled) {
+void order_follower::set_following(bool is_enabled, core::duration poll_wait) {
+  is_confirmed_ = is_confirmed_ && is_following_;
   is_following_ = is_enabled;
+  poll_wait_ = poll_wait;
   if (is_enabled && !is_active_ && !is_stopped_) {
     has_newest_records_ ? read_new_records() : read_newest();
   }
-  if (!is_enabled && long_poll_ != 0) {
-    store_.cancel(std::exchange(long_poll_, 0));
+  if (!is_enabled && !reads_.empty()) {
+    cancel_reads();
     is_active_ = false;
   }
 }
@@ -41,7 +45,14 @@
 void order_follower::stop() {
   is_stopped_ = true;
   timer_.cancel();
-  store_.cancel(long_poll_);
+  cancel_reads();
+}
+
+void order_follower::cancel_reads() {
+  hedge_timer_.cancel();
+  for (const auto& [key, request] : std::exchange(reads_, {})) {
+    store_.cancel(request);
+  }
 }
 
 void order_follower::skip_to(const core::gateway::log_position& end) {
@@ -50,10 +61,10 @@
 }
 
 void order_follower::restart() {
-  if (long_poll_ == 0 || is_stopped_) {
+  if (reads_.empty() || is_stopped_) {
     return;
   }
-  store_.cancel(std::exchange(long_poll_, 0));
+  cancel_reads();
   read_new_records();
 }
 
@@ -69,13 +80,40 @@
     return;
   }
   is_active_ = true;
-  // After a failure the answer must not wait for a record: it tells whether a new era has begun.
-  const core::duration wait = is_reachable_ ? core::duration{long_poll_wait} : core::duration{};
-  long_poll_ = store_.read_from(platform::operator_topic, next_.offset, wait,
-                                [this, from = next_](platform::read_result result) {
-                                  long_poll_ = 0;
-                                  on_new_records(from, std::move(result));
-                                });
+  // The first answer, and that after a failure, must not wait for a record: it tells whether the
+  // store answers, and whether a new era has begun.
+  const core::duration wait = is_confirmed_ && is_reachable_ ? poll_wait_ : core::duration{};
+  send_read(wait);
+  schedule_hedge(wait + hedge_delay);
+}
+
+void order_follower::send_read(core::duration wait) {
+  const std::uint64_t key = ++last_read_key_;
+  reads_[key] = store_.read_from(platform::operator_topic, next_.offset, wait,
+                                 [this, key, from = next_](platform::read_result result) {
+                                   on_read(key, from, std::move(result));
+                                 });
+}
+
+void order_follower::schedule_hedge(core::duration delay) {
+  hedge_timer_.expires_after(delay);
+  hedge_timer_.async_wait([this](std::error_code error) {
+    if (error || is_stopped_ || reads_.empty() || reads_.size() >= max_pending_reads) {
+      return;
+    }
+    send_read(core::duration::zero());
+    schedule_hedge(hedge_delay);
+  });
+}
+
+void order_follower::on_read(std::uint64_t key, const core::gateway::log_position& from,
+                             platform::read_result result) {
+  reads_.erase(key);
+  if (result.status == platform::read_status::failed && !reads_.empty()) {
+    return; // another read may still be answered
+  }
+  cancel_reads();
+  on_new_records(from, std::move(result));
 }
 
 bool order_follower::check(platform::read_result& result) {
@@ -119,13 +157,16 @@
 
 void order_follower::deliver(platform::read_result result, bool is_complete) {
   failures_ = 0;
+  is_confirmed_ = true;
   if (!is_reachable_) {
     is_reachable_ = true;
     on_reachability_change_(true, "");
   }
   const bool has_records = !result.records.empty();
+  const bool is_cut = !is_complete && result.next_offset < result.end_offset;
   on_records_(std::move(result), is_complete);
-  schedule(has_records && !is_complete ? core::duration{batching_delay} : core::duration::zero(),
+  schedule(has_records && !is_complete && !is_cut ? core::duration{batching_delay}
+                                                  : core::duration::zero(),
            &order_follower::read_new_records);
 }
 
--- a/src/arbutuslb/runtime/order_follower.h
+++ b/src/arbutuslb/runtime/order_follower.h
@@ -1,6 +1,10 @@
 // Follows the operator records in the store: reads the newest record of each key, then the log as
 // it grows, and passes the records to a handler. Failed reads are retried with exponential backoff
 // and jitter. In a new era of the store, the newest records are read again.
+//
+// A read that the store leaves unanswered does not delay the next one: beside it, reads that do not
+// wait are sent, and the first answer counts. So a store that was silent is read again within the
+// time of a poll and `hedge_delay` of its return.
 #pragma once
 
 #include "arbutuslb/core/base/random.h"
@@ -8,6 +12,7 @@
 #include "arbutuslb/platform/store_client.h"
 
 #include <asio/steady_timer.hpp>
+#include <map>
 
 namespace arbutuslb::runtime {
 
@@ -25,8 +30,9 @@
 
   // Reads the newest records once.
   void start();
-  // Sets whether to continue reading as the log grows. The newest records are read in any case.
-  void set_following(bool is_enabled);
+  // Sets whether to continue reading as the log grows, and for how long a poll waits for a record.
+  // The newest records are read in any case.
+  void set_following(bool is_enabled, core::duration poll_wait);
   // The records before `end` were received from another source; the next read skips them.
   void skip_to(const core::gateway::log_position& end);
   // Sends the pending long poll again; does nothing if there is none. Call this when the log is
@@ -37,8 +43,14 @@
 private:
   void read_newest();
   void read_new_records();
+  // Sends a read of the log beside those that are pending.
+  void send_read(core::duration wait);
+  void cancel_reads();
+  void schedule_hedge(core::duration delay);
   void on_newest(platform::read_result result);
-  // `from` is the position that was read from.
+  // `key` identifies the read, `from` is the position that was read from.
+  void on_read(std::uint64_t key, const core::gateway::log_position& from,
+               platform::read_result result);
   void on_new_records(const core::gateway::log_position& from, platform::read_result result);
   // Returns false if the read has failed; another one is scheduled then.
   bool check(platform::read_result& result);
@@ -53,7 +65,12 @@
   records_handler on_records_;
   reachability_handler on_reachability_change_;
   asio::steady_timer timer_;
-  std::uint64_t long_poll_ = 0;      // request id of the pending long poll; 0 if there is none
+  asio::steady_timer hedge_timer_;
+  std::map<std::uint64_t, std::uint64_t>
+      reads_; // request ids of the pending reads of the log, by key
+  std::uint64_t last_read_key_ = 0;
+  core::duration poll_wait_{};
+  bool is_confirmed_ = false;        // the store has answered since it is followed
   core::gateway::log_position next_; // the next record to read
   int failures_ = 0;                 // failed reads in a row
   int invalid_positions_ = 0;        // reads in a row from a position that the store does not have
--- a/src/arbutuslb/runtime/order_follower_test.cc
+++ b/src/arbutuslb/runtime/order_follower_test.cc
@@ -12,6 +12,8 @@
 namespace platform = arbutuslb::platform;
 namespace runtime = arbutuslb::runtime;
 
+constexpr std::chrono::milliseconds poll_wait{1200};
+
 // A follower of the operators' log, and what it has delivered.
 struct follower_fixture : runtime::store_fixture {
   follower_fixture()
@@ -47,7 +49,7 @@
   for (const char* value : {"1", "2", "3", "4"}) {
     fixture.append("config", value);
   }
-  fixture.follower.set_following(true);
+  fixture.follower.set_following(true, poll_wait);
   cr_assert(fixture.run_until([&] { return fixture.has("config", "4"); }));
   fixture.store.restore(1h);
   fixture.append("config", "5");
@@ -68,7 +70,7 @@
   follower_fixture fixture;
   fixture.append("config", "1");
   fixture.append("config", "2");
-  fixture.follower.set_following(true);
+  fixture.follower.set_following(true, poll_wait);
   cr_assert(fixture.run_until([&] { return fixture.has("config", "2"); }));
   fixture.store.restore(1h);
   for (const char* key : {"first", "second", "third"}) {
@@ -83,7 +85,7 @@
   for (const char* value : {"1", "2", "3"}) {
     fixture.append("config", value);
   }
-  fixture.follower.set_following(true);
+  fixture.follower.set_following(true, poll_wait);
   cr_assert(fixture.run_until([&] { return fixture.has("config", "3"); }));
   fixture.store.restore(1h);
   for (const char* value : {"4", "5", "6"}) {
@@ -97,7 +99,7 @@
   constexpr int max_turns = 500;
   follower_fixture fixture;
   fixture.append("config", "1");
-  fixture.follower.set_following(true);
+  fixture.follower.set_following(true, poll_wait);
   cr_assert(fixture.run_until([&] { return fixture.has("config", "1"); }));
   fixture.store.faults().is_silent = true;
   fixture.follower.restart();
@@ -118,7 +120,7 @@
   cr_assert(fixture.run_until([&] { return fixture.has("config", "1"); }));
   fixture.store.faults().is_silent = true;
   const std::uint64_t calls = fixture.store.calls();
-  fixture.follower.set_following(true);
+  fixture.follower.set_following(true, poll_wait);
   cr_assert(fixture.run_until([&] { return fixture.store.calls() > calls; }));
   fixture.store.faults().is_silent = false;
   fixture.append("config", "2");
@@ -129,7 +131,7 @@
   constexpr int max_turns = 200;
   follower_fixture fixture;
   fixture.append("config", "1");
-  fixture.follower.set_following(true);
+  fixture.follower.set_following(true, poll_wait);
   cr_assert(fixture.run_until([&] { return fixture.has("config", "1"); }));
   fixture.store.faults().is_silent = true;
   fixture.follower.restart();
