Only the settled version and the target by its share get requests

Cause: every version but the target was old, and without a rollout the version of the longest-running upstream was the allowed one. A version that was rolled back and still drained was old for the next rollout; after a restart of the old version's upstreams, or on a daemon without memory, the new one was the oldest. Change: each daemon knows the settled version of a service: the last completed one, or the one in use before the first rollout. It holds on to it while a daemon with that version was in contact within 6 s; reports name it, so that a daemon without memory takes it from the service's own daemons, and takes the oldest only after 3 s without a word. A daemon that starts reads the outcomes of rollouts that it finds ordered. Reports carry the age of the order, so that a new evaluator keeps the deadline. Tests, all red before: rollout::a_version_that_was_rolled_back_gets_nothing_during_the_next_rollout, a_version_gets_nothing_before_its_order_while_the_others_start_again, daemons_without_memory_take_the_recorded_outcome_and_serve.

--- a/src/arbutuslb/core/gateway/bundle_planner.cc
+++ b/src/arbutuslb/core/gateway/bundle_planner.cc
@@ -14,8 +14,9 @@
 bool has_changed_state(const peer_report& before, const peer_report& after) {
   return before.process_epoch != after.process_epoch || before.service != after.service ||
          before.instance_id != after.instance_id || before.version != after.version ||
-         before.is_usable != after.is_usable || before.is_stopping != after.is_stopping ||
-         before.limit != after.limit || (before.rate_limit > 0) != (after.rate_limit > 0) ||
+         before.settled_version != after.settled_version || before.is_usable != after.is_usable ||
+         before.is_stopping != after.is_stopping || before.limit != after.limit ||
+         (before.rate_limit > 0) != (after.rate_limit > 0) ||
          before.operator_log_end != after.operator_log_end || before.rollouts != after.rollouts ||
          before.is_store_reachable != after.is_store_reachable ||
          before.suspicions != after.suspicions;
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -321,6 +321,7 @@
   report.sequence = shared_.next_id();
   report.is_stopping = shared_.is_stopping;
   gate_.describe(report);
+  report.settled_version = rollouts_.settled_version(report.service);
   report.operator_log_end =
       shared_.operator_records.configuration() ? shared_.operator_records.end() : log_position{};
   report.rollouts = rollouts_.progress();
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -28,6 +28,9 @@
 constexpr std::size_t local_sample_size = 4;
 constexpr std::size_t remote_sample_size = 3;
 constexpr std::chrono::seconds expiry_check_period{1};
+// A version still counts as present for this long after the last contact with its daemons, so that
+// a restart of all of them does not make another version the oldest one.
+constexpr std::chrono::seconds version_retention{6};
 
 std::optional<duration> route_mean(const peer_report& report, std::uint32_t route_hash) {
   for (const route_latency& item : report.routes) {
@@ -445,6 +448,29 @@
   return view_of(service).oldest_version;
 }
 
+bool peer_directory::has_version(std::string_view service, std::string_view version,
+                                 time_point now) const {
+  const std::vector<const host_entry*>& members = view_of(service).members;
+  return std::any_of(members.begin(), members.end(), [&](const host_entry* item) {
+    return item->second.report.version == version &&
+           now - item->second.last_contact < version_retention;
+  });
+}
+
+std::string peer_directory::reported_settled_version(std::string_view service) const {
+  std::map<std::string_view, int> reports;
+  for (const host_entry* item : view_of(service).members) {
+    if (item->first != local_host_ && !item->second.report.settled_version.empty()) {
+      ++reports[item->second.report.settled_version];
+    }
+  }
+  const auto most =
+      std::max_element(reports.begin(), reports.end(), [](const auto& one, const auto& other) {
+        return one.second < other.second;
+      });
+  return most == reports.end() ? std::string{} : std::string(most->first);
+}
+
 std::vector<std::string> peer_directory::role_holders(std::string_view role,
                                                       const std::string& domain, std::size_t count,
                                                       time_point now) const {
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -106,6 +106,11 @@
                                                      time_point now, random_source& random) const;
   // Returns the version of the longest-running upstream of the service; empty if there is none.
   const std::string& oldest_version(std::string_view service) const;
+  // Returns true if a daemon with this version of the service was in contact shortly before `now`,
+  // be its upstream usable or not.
+  bool has_version(std::string_view service, std::string_view version, time_point now) const;
+  // Returns the settled version that most daemons of the service report; empty if none does.
+  std::string reported_settled_version(std::string_view service) const;
   // Returns the daemons, at most `count`, that are assigned a role in a failure domain, or in the
   // whole mesh if `domain` is empty. They are the first of the live daemons that are not stopping,
   // ordered by whether they can reach the store, then by highest capacity weight, then by
--- a/src/arbutuslb/core/gateway/peer_report.h
+++ b/src/arbutuslb/core/gateway/peer_report.h
@@ -33,7 +33,13 @@
   int share_permille = 0; // share of the requests that are sent to the new version
   rollout_phase phase = rollout_phase::running;
   std::optional<std::uint64_t> recorded_era; // era of the store in which the phase is recorded
-  friend bool operator==(const rollout_progress&, const rollout_progress&) = default;
+  duration age{};                            // since a daemon first read the order
+
+  // The age, which always rises, does not make two states different.
+  friend bool operator==(const rollout_progress& one, const rollout_progress& other) {
+    return one.id == other.id && one.share_permille == other.share_permille &&
+           one.phase == other.phase && one.recorded_era == other.recorded_era;
+  }
 };
 
 struct peer_report {
@@ -47,6 +53,7 @@
   std::string service;          // service, instance id and version of the upstream
   std::string instance_id;
   std::string version;
+  std::string settled_version;          // of the service, as known by the sender; empty if unknown
   std::int64_t upstream_started_ms = 0; // since the Unix epoch
   bool is_usable = false;               // the upstream accepts requests
   int limit = 0;                        // maximum number of concurrent requests
--- a/src/arbutuslb/core/gateway/rollout_conductor.cc
+++ b/src/arbutuslb/core/gateway/rollout_conductor.cc
@@ -16,6 +16,10 @@
 // Requests at the old version complete within this time after the new one has all traffic.
 constexpr std::chrono::milliseconds drain_time{1200};
 constexpr std::chrono::milliseconds record_retry_delay{500};
+// A new process waits for this long for what its peers know of the versions, before it takes the
+// version of the longest-running upstream for the settled one. In that time it also reads the
+// outcomes of rollouts that were ordered before.
+constexpr std::chrono::seconds learning_time{3};
 constexpr std::chrono::seconds wait_log_period{1};
 constexpr int full_share_permille = 1000;
 // Upstreams of one service differ in speed; only a ratio beyond their spread indicates a fault.
@@ -74,12 +78,18 @@
     value.previous_id = id;
     value.number = ++last_number_;
     value.order = active.order;
+    update_settled_version(service);
+    value.previous_version = settled_version(service);
     value.started = shared_.now;
     value.last_step_at = shared_.now;
     shared_.write(engine::severity::info, "rollout_ordered",
                   {{"service", service},
                    {"version", active.order.target_version},
+                   {"settled", value.previous_version},
                    {"id", std::to_string(id)}});
+    if (shared_.now - shared_.started < learning_time && !outcomes_end_) {
+      shared_.add_action(read_outcomes{}); // it may have ended before this process started
+    }
   }
 }
 
@@ -92,6 +102,7 @@
   if (is_later_phase) {
     value.phase = phase;
     value.phase_changed_at = shared_.now;
+    settle(value);
   }
   if (is_higher) {
     value.share_permille = share_permille;
@@ -111,10 +122,76 @@
   if (value.phase != phase) {
     value.phase = phase;
     value.phase_changed_at = shared_.now;
+    settle(value);
     note_step(value);
   }
 }
 
+// --- settled versions ---
+
+void rollout_conductor::settle(const rollout& value) {
+  const std::string& target = value.order.target_version;
+  if (value.phase == rollout_phase::completed) {
+    settled_[value.order.service] = target;
+  } else if (value.phase == rollout_phase::rolled_back &&
+             settled_version(value.order.service) == target) {
+    settled_[value.order.service] = value.previous_version;
+  }
+}
+
+void rollout_conductor::update_settled_versions() {
+  if (shared_.operator_records.configuration()) {
+    for (const auto& [service, policy] : shared_.operator_records.configuration()->services) {
+      update_settled_version(service);
+    }
+  }
+}
+
+void rollout_conductor::update_settled_version(const std::string& service) {
+  const std::string known = settled_version(service);
+  if (!known.empty() && shared_.directory.has_version(service, known, shared_.now)) {
+    return;
+  }
+  const std::string guess = guess_settled_version(service);
+  if (!guess.empty() && guess != known) {
+    settled_[service] = guess;
+    shared_.write(engine::severity::info, "version_settled",
+                  {{"service", service}, {"version", guess}, {"from", known}});
+  }
+}
+
+std::string rollout_conductor::guess_settled_version(const std::string& service) const {
+  const rollout* const active = find(service);
+  const auto is_possible = [&](const std::string& version) {
+    return !version.empty() &&
+           (active == nullptr || active->order.target_version != version ||
+            active->phase == rollout_phase::completed) &&
+           shared_.directory.has_version(service, version, shared_.now);
+  };
+  const std::string reported = shared_.directory.reported_settled_version(service);
+  if (is_possible(reported)) {
+    return reported;
+  }
+  const std::string& oldest = shared_.directory.oldest_version(service);
+  return shared_.now - shared_.started >= learning_time && is_possible(oldest) ? oldest
+                                                                               : std::string{};
+}
+
+std::string rollout_conductor::settled_version(std::string_view service) const {
+  const auto found = settled_.find(service);
+  return found == settled_.end() ? std::string{} : found->second;
+}
+
+bool rollout_conductor::is_settled(std::string_view service, const std::string& version) const {
+  const auto found = settled_.find(service);
+  if (found != settled_.end() && !found->second.empty()) {
+    return version == found->second;
+  }
+  const std::string reported = shared_.directory.reported_settled_version(service);
+  return reported.empty() ? version == shared_.directory.oldest_version(service)
+                          : version == reported;
+}
+
 void rollout_conductor::note_step(const rollout& value) {
   shared_.is_local_report_due = true;
   shared_.write(engine::severity::info, "rollout_step",
@@ -134,6 +211,7 @@
       if (item.recorded_era) {
         take_over_recorded(value, item.phase, *item.recorded_era);
       }
+      value.started = std::min(value.started, shared_.now - item.age);
       advance(value, item.share_permille, item.phase);
     }
   }
@@ -200,6 +278,7 @@
     return;
   }
   evaluated_at_ = shared_.now;
+  update_settled_versions();
   for (auto& [service, value] : rollouts_) {
     const std::vector<std::string> holders =
         shared_.directory.role_holders(role_name(service), "", 1, shared_.now);
@@ -314,24 +393,31 @@
   const rollout* value = find(service);
   if (value == nullptr) {
     // Upstreams of a new version may be started before their rollout is requested.
-    return version == shared_.directory.oldest_version(service);
+    return is_settled(service, version);
   }
   const bool is_new = version == value->order.target_version;
   switch (value->phase) {
   case rollout_phase::rolled_back:
-    return !is_new;
+    return !is_new && is_old(*value, version);
   case rollout_phase::completed:
     return is_new;
   case rollout_phase::running:
-    return is_new == is_for_new_version;
+    return is_new ? is_for_new_version : !is_for_new_version && is_old(*value, version);
   }
   return false;
 }
 
+bool rollout_conductor::is_old(const rollout& value, const std::string& version) const {
+  const std::string settled = settled_version(value.order.service);
+  // The oldest version may be the target, so without knowledge every other one is allowed.
+  return settled.empty() || settled == value.order.target_version || version == settled;
+}
+
 std::vector<rollout_progress> rollout_conductor::progress() const {
   std::vector<rollout_progress> all;
   for (const auto& [service, value] : rollouts_) {
-    all.push_back({value.id, value.share_permille, value.phase, value.recorded_era});
+    all.push_back({value.id, value.share_permille, value.phase, value.recorded_era,
+                   shared_.now - value.started});
   }
   return all;
 }
--- a/src/arbutuslb/core/gateway/rollout_conductor.h
+++ b/src/arbutuslb/core/gateway/rollout_conductor.h
@@ -31,7 +31,8 @@
     std::uint64_t previous_id = 0;
     std::uint64_t number = 0; // among the rollouts of this process; the same for both ids
     rollout_spec order;
-    time_point started{};
+    std::string previous_version; // settled when the order was read; empty if unknown
+    time_point started{};         // when a daemon first read the order
     time_point last_step_at{};
     int share_permille = 0;
     rollout_phase phase = rollout_phase::running;
@@ -52,11 +53,14 @@
   // Decides whether the next request is sent to the new version. Returns false if there is no
   // rollout or it was rolled back.
   bool assign_to_new_version(std::string_view service);
-  // Returns true if a request may be sent to this version of the service now. `is_for_new_version`
-  // is the result of `assign_to_new_version` for the request. Without a rollout, only the version
-  // of the longest-running upstream is allowed.
+  // Returns true if a request may be sent to this version of the service now: to the target of its
+  // rollout by its share, otherwise to the settled version only. `is_for_new_version` is the result
+  // of `assign_to_new_version` for the request.
   bool allows(std::string_view service, const std::string& version, bool is_for_new_version) const;
 
+  // Returns the version of the service that was completed last, or that was in use before the first
+  // rollout; empty if that is not known yet.
+  std::string settled_version(std::string_view service) const;
   std::vector<rollout_progress> progress() const;
   // Returns the name of the role that evaluates the rollouts of a service.
   static std::string role_name(const std::string& service) { return "rollout " + service; }
@@ -69,6 +73,16 @@
   // Takes over a phase that is recorded in this era of the store, if none of a later one is known.
   void take_over_recorded(rollout& value, rollout_phase phase, std::uint64_t era);
   void note_step(const rollout& value);
+  // Derives the settled version of the service from a change of the phase.
+  void settle(const rollout& value);
+  // Finds the settled versions that are not known yet, and forgets those without upstreams.
+  void update_settled_versions();
+  void update_settled_version(const std::string& service);
+  // Returns the version that has probably been settled before this process started.
+  std::string guess_settled_version(const std::string& service) const;
+  bool is_settled(std::string_view service, const std::string& version) const;
+  // Returns true if requests that the rollout does not move may be sent to this version.
+  bool is_old(const rollout& value, const std::string& version) const;
   void evaluate(rollout& value);
   // Logs why the share does not rise if the reason has changed, once a second at most.
   void note_wait(rollout& value, const std::string& reason);
@@ -78,7 +92,8 @@
   void advance_era(std::uint64_t era);
 
   gateway_context& shared_;
-  std::map<std::string, rollout, std::less<>> rollouts_; // by service
+  std::map<std::string, rollout, std::less<>> rollouts_;    // by service
+  std::map<std::string, std::string, std::less<>> settled_; // by service
   std::uint64_t last_number_ = 0;
   std::uint64_t era_ = 0; // of the store
   // End of the outcomes when last read; empty if they are to be read before the next record.
--- a/src/arbutuslb/core/gateway/rollout_test.cc
+++ b/src/arbutuslb/core/gateway/rollout_test.cc
@@ -173,3 +173,82 @@
   }
   cr_assert_eq(play.fixture.fleet.starts[1].size() + play.fixture.fleet.starts[5].size(), before);
 }
+
+namespace {
+
+// Upstreams of three versions of `menu`; each version but the first has one.
+struct versions_play {
+  versions_play() {
+    for (const std::size_t at : menu_daemons) {
+      fixture.fleet.upstream(at).slots = 18;
+    }
+    fixture.fleet.upstream(second).version = "v2";
+    fixture.fleet.upstream(third).version = "v3";
+    fixture.fleet.restart(second);
+    fixture.fleet.restart(third);
+    fixture.fleet.run_for(4s);
+  }
+  // Sends requests to all daemons for a time.
+  void run_for(arbutuslb::core::duration time) {
+    for (arbutuslb::core::duration elapsed{}; elapsed < time; elapsed += 10ms) {
+      for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        fixture.fleet.call((2 * sent_++ + daemon) % 8, "shop.example", "/menu/1");
+      }
+      fixture.fleet.run_for(10ms);
+    }
+  }
+  std::size_t executions(std::size_t daemon) { return fixture.fleet.starts[daemon].size(); }
+
+  static constexpr std::size_t second = 1;
+  static constexpr std::size_t third = 5;
+  mesh_fixture fixture;
+
+private:
+  std::size_t sent_ = 0;
+};
+
+} // namespace
+
+Test(rollout, a_version_that_was_rolled_back_gets_nothing_during_the_next_rollout) {
+  versions_play play;
+  play.fixture.fleet.upstream(versions_play::second).error_share = 1.0;
+  play.fixture.fleet.order("rollout/menu", gateway::rollout_spec{"menu", "v2", 14s});
+  while (!play.fixture.fleet.outcomes.contains("menu")) {
+    play.run_for(100ms);
+  }
+  play.run_for(100ms);
+  play.fixture.fleet.order("rollout/menu", gateway::rollout_spec{"menu", "v3", 14s});
+  play.fixture.fleet.kill_upstream(0);
+  const std::size_t before = play.executions(versions_play::second);
+  play.run_for(3s); // the upstream of v2 is still there
+  cr_assert_eq(play.executions(versions_play::second), before);
+}
+
+Test(rollout, a_version_gets_nothing_before_its_order_while_the_others_start_again) {
+  versions_play play;
+  play.fixture.fleet.kill_upstream(0);
+  play.fixture.fleet.kill_upstream(4);
+  play.run_for(4s);
+  play.fixture.fleet.restart(2); // without memory, beside old versions that have just started
+  play.run_for(5s);
+  cr_assert_eq(play.executions(versions_play::second), 0U);
+  cr_assert_eq(play.executions(versions_play::third), 0U);
+  cr_assert_gt(play.executions(0), 100U);
+}
+
+Test(rollout, daemons_without_memory_take_the_recorded_outcome_and_serve) {
+  rollout_play play;
+  play.run();
+  cr_assert(play.has_outcome(gateway::rollout_phase::completed));
+  for (std::size_t daemon = 0; daemon < 8; ++daemon) {
+    play.fixture.fleet.restart(daemon);
+  }
+  play.fixture.fleet.upstream(0).is_down = true; // the old version has been stopped
+  play.fixture.fleet.upstream(4).is_down = true;
+  play.fixture.fleet.run_for(2500ms);
+  for (std::size_t daemon = 0; daemon < 8; ++daemon) {
+    const std::uint64_t token = play.fixture.fleet.call(daemon, "shop.example", "/menu/1");
+    play.fixture.fleet.run_for(300ms);
+    cr_assert_eq(play.fixture.fleet.answers[token].status, status_ok);
+  }
+}
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -206,6 +206,7 @@
   out.set_service(value.service);
   out.set_instance_id(value.instance_id);
   out.set_version(value.version);
+  out.set_settled_version(value.settled_version);
   out.set_upstream_started_ms(value.upstream_started_ms);
   out.set_is_usable(value.is_usable);
   out.set_limit(static_cast<std::uint32_t>(value.limit));
@@ -229,6 +230,7 @@
     if (item.recorded_era) {
       converted.set_recorded_era(*item.recorded_era);
     }
+    converted.set_age(item.age.count());
   }
   for (const core::protocol::evidence_report& item : value.evidence) {
     wire::to_proto(item, *out.add_evidence());
@@ -252,6 +254,7 @@
   value.service = in.service();
   value.instance_id = in.instance_id();
   value.version = in.version();
+  value.settled_version = in.settled_version();
   value.upstream_started_ms = in.upstream_started_ms();
   value.is_usable = in.is_usable();
   value.limit = static_cast<int>(in.limit());
@@ -269,7 +272,8 @@
       throw codec_error("rollout phase out of range");
     }
     value.rollouts.push_back({item.id(), static_cast<int>(item.share_permille()),
-                              static_cast<gateway::rollout_phase>(item.phase()), std::nullopt});
+                              static_cast<gateway::rollout_phase>(item.phase()), std::nullopt,
+                              core::duration{std::max<std::int64_t>(0, item.age())}});
     if (item.has_recorded_era()) {
       value.rollouts.back().recorded_era = item.recorded_era();
     }
