An odd entry of another writer ends no process and replaces no upstream

Cause: the parser's other exceptions passed the boundary, and a heartbeat was judged by its address and sequence only. Change: text from other writers is parsed in one place, which also limits the nesting and turns every failure into a finding. The gate does not take a heartbeat of a service that the configuration in force lacks, or that contradicts what the same incarnation has said. Tests: orders and heartbeats::an_odd_entry_of_another_writer_*, gateway::a_heartbeat_of_another_writer_does_not_replace_the_upstream.

--- a/src/arbutuslb/core/base/object_reader.cc
+++ b/src/arbutuslb/core/base/object_reader.cc
@@ -58,17 +58,52 @@
       std::from_chars(text.data(), text.data() + text.size(), number);
   const std::string_view unit = text.substr(static_cast<std::size_t>(parsed.ptr - text.data()));
   constexpr double max_seconds = 1e9;
-  if (parsed.ec != std::errc{} || number < 0 || number > max_seconds ||
-      (unit != "ms" && unit != "s")) {
+  const bool is_in_range = number >= 0 && number <= max_seconds; // false for NaN
+  if (parsed.ec != std::errc{} || !is_in_range || (unit != "ms" && unit != "s")) {
     return std::nullopt;
   }
   const std::chrono::duration<double, std::milli> value{unit == "s" ? number * 1000.0 : number};
   return std::chrono::duration_cast<duration>(value);
 }
 
+namespace {
+
+// No document of this system is nested deeper. Deep nesting takes a multiple of the text's memory.
+constexpr int max_nesting = 64;
+
+// Returns true if brackets outside strings are nested too deeply.
+bool is_nested_too_deeply(std::string_view text) {
+  int depth = 0;
+  bool is_in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (is_in_string) {
+      i += c == '\\' ? 1 : 0;
+      is_in_string = c != '"';
+    } else if (c == '"') {
+      is_in_string = true;
+    } else if (c == '{' || c == '[') {
+      if (++depth > max_nesting) {
+        return true;
+      }
+    } else if (c == '}' || c == ']') {
+      --depth;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
 json parse_json_with_comments(std::string_view text) {
+  if (is_nested_too_deeply(text)) {
+    throw findings_error(std::vector<finding>{
+        {"", "nested more than " + std::to_string(max_nesting) + " levels deep"}});
+  }
   try {
     return json::parse(text.begin(), text.end(), nullptr, true, true);
+  } catch (const json::out_of_range&) {
+    throw findings_error(std::vector<finding>{{"", "a number is out of range"}});
   } catch (const json::parse_error& error) {
     const std::size_t byte = std::min<std::size_t>(error.byte, text.size());
     const std::string_view before = text.substr(0, byte);
--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -515,3 +515,21 @@
   }
   cr_assert(fixture.fleet.starts[0].size() > before);
 }
+
+Test(gateway, a_heartbeat_of_another_writer_does_not_replace_the_upstream) {
+  mesh_fixture fixture;
+  gateway::heartbeat unknown = fixture.fleet.next_heartbeat(0);
+  unknown.instance_id = "i-odd";
+  unknown.started_ms += 1;
+  unknown.service = "no-such-service";
+  cr_assert_not(fixture.fleet.acknowledged.contains(fixture.fleet.send_heartbeat(0, unknown)));
+  gateway::heartbeat contradictory = fixture.fleet.next_heartbeat(0);
+  contradictory.sequence += 1;
+  contradictory.service = "orders";
+  cr_assert_not(
+      fixture.fleet.acknowledged.contains(fixture.fleet.send_heartbeat(0, contradictory)));
+  const auto& report = fixture.fleet.daemon(1).directory().peers().at("10.0.0.1").report;
+  fixture.fleet.run_for(1s);
+  cr_assert_eq(report.instance_id, "i-0");
+  cr_assert_eq(report.service, "menu");
+}
--- a/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
@@ -21,13 +21,24 @@
 constexpr std::chrono::seconds unfinished_retention{2};
 constexpr std::size_t max_unfinished = 32;
 
+// Returns true if the heartbeat is not one of the local upstream; it is not acknowledged.
+bool is_of_other_writer(heartbeat_verdict verdict) {
+  return verdict == heartbeat_verdict::foreign || verdict == heartbeat_verdict::unknown_service ||
+         verdict == heartbeat_verdict::contradictory;
+}
+
 } // namespace
 
 // --- heartbeats and departures ---
 
 void upstream_gate::on_heartbeat(const heartbeat_received& value) {
   const std::optional<registered_upstream> previous = shared_.registry.upstream();
-  const heartbeat_verdict verdict = shared_.registry.on_heartbeat(value.content, shared_.now);
+  const std::shared_ptr<const mesh_configuration>& configuration =
+      shared_.operator_records.configuration();
+  const bool has_service = !configuration || configuration->find_service(value.content.service);
+  const heartbeat_verdict verdict = has_service
+                                        ? shared_.registry.on_heartbeat(value.content, shared_.now)
+                                        : heartbeat_verdict::unknown_service;
   const bool is_accepted = verdict == heartbeat_verdict::accepted;
   if (is_accepted && value.content.state != upstream_lifecycle::ready) {
     const bool is_first = !previous || previous->state == upstream_lifecycle::ready;
@@ -36,8 +47,8 @@
     }
     acknowledge_after_recording(value.token);
   } else {
-    shared_.add_action(acknowledge_heartbeat{value.token, verdict != heartbeat_verdict::foreign,
-                                             to_string(verdict)});
+    shared_.add_action(
+        acknowledge_heartbeat{value.token, !is_of_other_writer(verdict), to_string(verdict)});
   }
   if (!is_accepted) {
     ++shared_.totals.heartbeats_refused;
--- a/src/arbutuslb/core/gateway/upstream_registry.cc
+++ b/src/arbutuslb/core/gateway/upstream_registry.cc
@@ -29,6 +29,10 @@
     return "already_leaving";
   case heartbeat_verdict::foreign:
     return "foreign";
+  case heartbeat_verdict::unknown_service:
+    return "unknown_service";
+  case heartbeat_verdict::contradictory:
+    return "contradictory";
   }
   return "unknown";
 }
@@ -44,6 +48,10 @@
         (is_same_start && value.sequence <= upstream_->sequence)) {
       return heartbeat_verdict::stale;
     }
+    if (is_same_start &&
+        (value.service != upstream_->service || value.version != upstream_->version)) {
+      return heartbeat_verdict::contradictory;
+    }
     if (is_same_start && upstream_->state != upstream_lifecycle::ready &&
         value.state == upstream_lifecycle::ready) {
       return heartbeat_verdict::already_leaving;
--- a/src/arbutuslb/core/gateway/upstream_registry.h
+++ b/src/arbutuslb/core/gateway/upstream_registry.h
@@ -38,6 +38,8 @@
   stale,           // from an earlier incarnation, or without a higher sequence number
   already_leaving, // reports ready after the incarnation has started to depart
   foreign,         // from another address than the local upstream's
+  unknown_service, // of a service that the configuration in force does not have
+  contradictory    // another service or version than the same incarnation has reported
 };
 const char* to_string(heartbeat_verdict value);
 
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -347,6 +347,12 @@
 
 void gateway_fleet::emit_heartbeat(std::size_t index) {
   if (!nodes_[index].upstream.is_down) {
+    node& value = nodes_[index];
+    if (value.upstream.version != value.reported_version) {
+      // Another version is another incarnation.
+      value.upstream_started_ms += value.reported_version.empty() ? 0 : 1;
+      value.reported_version = value.upstream.version;
+    }
     ++nodes_[index].sequence;
     send_heartbeat(index, next_heartbeat(index));
   }
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -119,6 +119,7 @@
     core::time_point next_heartbeat{};
     std::uint64_t upstream_generation = 0; // incremented by each death of the upstream
     std::int64_t upstream_started_ms = 0;  // since the Unix epoch
+    std::string reported_version;          // in the newest heartbeat
     std::set<std::uint64_t> executing;     // attempts at the upstream
   };
   struct performer;
--- a/src/arbutuslb/platform/orders.cc
+++ b/src/arbutuslb/platform/orders.cc
@@ -210,7 +210,12 @@
     return std::nullopt;
   }
   finding_list findings;
-  const json parsed = json::parse(value, nullptr, false);
+  json parsed;
+  try {
+    parsed = core::parse_json_with_comments(value);
+  } catch (const findings_error&) {
+    return std::nullopt; // of another writer; only a readable one counts
+  }
   if (!parsed.is_object()) {
     return std::nullopt;
   }
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -153,7 +153,12 @@
   cr_assert(outcome_of(503, {{"X-Not-Executed", "1"}}) == gateway::run_outcome::not_executed);
   cr_assert(outcome_of(421, {}) == gateway::run_outcome::not_executed);
   cr_assert(outcome_of(503, {}) == gateway::run_outcome::answered);
-  cr_assert_not(is_answer_to({200, {{"X-Attempt-Identifier", "b"}}, ""}, "a"));
+  using arbutuslb::runtime::http::answer_owner;
+  cr_assert(owner_of({200, {{"X-Attempt-Identifier", "a"}}, ""}, "a") ==
+            answer_owner::this_request);
+  cr_assert(owner_of({200, {{"X-Attempt-Identifier", "b"}}, ""}, "a") ==
+            answer_owner::another_request);
+  cr_assert(owner_of({503, {{"X-Not-Executed", "1"}}, ""}, "a") == answer_owner::unidentified);
 }
 
 Test(requests, limit_and_departure_that_an_upstream_states_are_decoded) {
@@ -443,3 +448,56 @@
   cr_assert(
       decode_outcome("rollout/menu", R"({"targetVersion":"v2","state":"running"})").has_value());
 }
+
+namespace {
+
+// Entries that another writer may leave.
+std::vector<std::string> odd_entries() {
+  std::vector<std::string> entries{"",
+                                   "{",
+                                   "null",
+                                   "[]",
+                                   "1e999",
+                                   "{\"a\": 1e999}",
+                                   "{\"born\": 1e999, \"address\": 7, \"status\": []}",
+                                   "{\"born\": 18446744073709551616}",
+                                   "{\"born\": 99999999999999999999999999}",
+                                   "{\"version\": \"r99999999999999999999999\", \"routes\": 1}",
+                                   "{\"service\": \"a\", \"service\": 2, \"duration\": \"nans\"}",
+                                   "{\"address\": \"10.0.0.1:65536\"}",
+                                   "{\"address\": \"10.0.0.1:-1\"}",
+                                   std::string("{\"a\": \"\xff\xfe\"}"),
+                                   "{\"targetVersion\": \"v2\", \"state\": 1e999}"};
+  constexpr int depth = 100'000;
+  std::string nested;
+  for (int i = 0; i < depth; ++i) {
+    nested += "{\"a\":[";
+  }
+  entries.push_back(nested);
+  entries.push_back(std::string(depth, '['));
+  entries.push_back(std::string(std::size_t{256} * 1024, '7'));
+  return entries;
+}
+
+} // namespace
+
+Test(orders, an_odd_entry_of_another_writer_is_unreadable_and_ends_nothing) {
+  const std::string long_key = "rollout/" + std::string(300, 'x');
+  for (const std::string& entry : odd_entries()) {
+    for (const std::string& key : {std::string("config"), std::string("rollout/menu"), long_key}) {
+      const gateway::operator_record record = decode_operator_record({1, 0}, key, entry);
+      cr_assert(entry.empty() || std::holds_alternative<gateway::unreadable_record>(record.value));
+      cr_assert_not(decode_outcome(key, entry).has_value());
+    }
+  }
+}
+
+Test(heartbeats, an_odd_entry_of_another_writer_is_rejected) {
+  for (const std::string& entry : odd_entries()) {
+    arbutuslb::core::http_request request;
+    request.method = "PUT";
+    request.target = "/instances/i-1";
+    request.body = entry;
+    cr_assert(std::holds_alternative<rejected_call>(decode_upstream_call(request)));
+  }
+}
--- a/src/arbutuslb/platform/store_client.cc
+++ b/src/arbutuslb/platform/store_client.cc
@@ -97,7 +97,7 @@
 // if this is the last one. Throws an exception derived from `std::exception` if a field is missing
 // or of another type.
 std::string decode_page(const std::string& body, bool is_first, read_result& result) {
-  const json page = json::parse(body);
+  const json page = core::parse_json_with_comments(body);
   std::string last_key;
   for (const json& item : page.at("items").get_ref<const json::array_t&>()) {
     last_key = item.at("key").get<std::string>();
