An answer counts only if it names its request; bodies share one limit; CONNECT is refused

Cause: an answer without an id was taken for the answer of whatever waits; each body had a limit, but all together had none; a tunnel request has no body for the parser. Change: an answer that names another request is dropped, as before; one that names none breaks its connection, and the outcome is unknown. Bodies of answers that are being read share an eighth of the memory (settings: instance_limits.memory_mb); beyond it, a body of over 64 kB fails. CONNECT is malformed. An exception in an event is logged (event_failed) and no longer ends the process. Tests: client::an_answer_that_names_no_request_breaks_the_connection, bodies_without_end_share_one_limit_*, ambiguously_framed_requests. An answer that breaks off at any byte, by FIN and by RST, was never complete here: client::an_answer_that_breaks_off_at_any_byte passes on the code before, too.

--- a/src/arbutuslb/platform/requests.cc
+++ b/src/arbutuslb/platform/requests.cc
@@ -32,7 +32,8 @@
   const std::from_chars_result parsed =
       std::from_chars(text.data(), text.data() + text.size(), milliseconds);
   constexpr double max_milliseconds = 1e9;
-  if (parsed.ec != std::errc{} || milliseconds <= 0 || milliseconds > max_milliseconds) {
+  const bool is_in_range = milliseconds > 0 && milliseconds <= max_milliseconds; // false for NaN
+  if (parsed.ec != std::errc{} || !is_in_range) {
     return {};
   }
   return std::chrono::duration_cast<core::duration>(
@@ -92,9 +93,12 @@
   return message;
 }
 
-bool is_answer_to(const core::http_response& answer, const std::string& attempt_id) {
+runtime::http::answer_owner owner_of(const core::http_response& answer,
+                                     const std::string& attempt_id) {
   const std::string* id = core::find_header(answer.headers, attempt_field);
-  return id == nullptr || *id == attempt_id;
+  return id == nullptr       ? runtime::http::answer_owner::unidentified
+         : *id == attempt_id ? runtime::http::answer_owner::this_request
+                             : runtime::http::answer_owner::another_request;
 }
 
 gateway::run_result decode_answer(core::http_response answer) {
--- a/src/arbutuslb/platform/requests.h
+++ b/src/arbutuslb/platform/requests.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "arbutuslb/core/gateway/calls.h"
+#include "arbutuslb/runtime/http/client.h"
 
 namespace arbutuslb::platform {
 
@@ -19,8 +20,8 @@
 // Derives the result of a request from the upstream's complete answer.
 core::gateway::run_result decode_answer(core::http_response answer);
 
-// Returns false if the answer carries the id of another attempt; an answer without an id is
-// accepted.
-bool is_answer_to(const core::http_response& answer, const std::string& attempt_id);
+// Returns which request the answer names by its attempt id.
+runtime::http::answer_owner owner_of(const core::http_response& answer,
+                                     const std::string& attempt_id);
 
 } // namespace arbutuslb::platform
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -41,6 +41,9 @@
 // Time between two checks of the timeouts of connections.
 constexpr std::chrono::milliseconds sweep_period{100};
 constexpr std::chrono::milliseconds peer_connect_timeout{250};
+// Part of the memory for bodies of answers that are being read. Each is copied up to three times on
+// its way to the caller.
+constexpr std::size_t answer_memory_divisor = 8;
 constexpr std::chrono::milliseconds upstream_connect_timeout{300};
 // Requests that were interrupted are answered at the latest after this time.
 constexpr std::chrono::milliseconds upstream_probe_timeout{100};
@@ -74,8 +77,11 @@
   state(const gateway_host_settings& values, std::string path)
       : settings(values), settings_path(std::move(path)),
         core(values.core, random_seed(), clock.now()), log(STDOUT_FILENO),
-        signals(loop, SIGTERM, SIGINT, SIGHUP), timer(loop), peer_client(loop),
-        upstream_client(loop), store_connections(loop), store(store_connections, values.store),
+        signals(loop, SIGTERM, SIGINT, SIGHUP), timer(loop),
+        answers(std::make_shared<http::body_account>(
+            http::body_account{values.memory_bytes / answer_memory_divisor, 0})),
+        peer_client(loop, answers), upstream_client(loop, answers), store_connections(loop),
+        store(store_connections, values.store),
         members(store, values.core.host, values.core.name,
                 [this](const std::string& event, const std::string& reason) {
                   write_event(core::engine::severity::error, event, {{"reason", reason}});
@@ -238,8 +244,8 @@
                                                     : core::duration{non_idempotent_max_idle};
     options.answer_timeout = action.request.time_left + std::chrono::milliseconds{20};
     const std::string attempt_id = action.request.content.attempt_id;
-    options.is_matching_answer = [attempt_id](const core::http_response& answer) {
-      return platform::is_answer_to(answer, attempt_id);
+    options.owner_of = [attempt_id](const core::http_response& answer) {
+      return platform::owner_of(answer, attempt_id);
     };
     const std::uint64_t attempt = action.attempt;
     options.on_written = [this, attempt] { handle(gateway::attempt_written{attempt}); };
@@ -589,6 +595,7 @@
   log_writer log;
   asio::signal_set signals;
   asio::steady_timer timer;
+  std::shared_ptr<http::body_account> answers; // that are being read
   http::client peer_client;
   http::client upstream_client;
   http::client store_connections;
@@ -614,7 +621,15 @@
 gateway_host::~gateway_host() = default;
 
 void gateway_host::run() {
-  state_->loop.run();
+  while (!state_->loop.stopped()) {
+    try {
+      state_->loop.run();
+    } catch (const std::exception& error) {
+      // The event that failed is lost; its connection ends by its time limit.
+      state_->write_event(core::engine::severity::error, "event_failed",
+                          {{"reason", error.what()}});
+    }
+  }
 }
 
 } // namespace arbutuslb::runtime
--- a/src/arbutuslb/runtime/gateway_settings.cc
+++ b/src/arbutuslb/runtime/gateway_settings.cc
@@ -21,6 +21,9 @@
 constexpr double reference_cores = 0.1;
 constexpr double reference_link_mbps = 10.0;
 constexpr double max_cores = 1e4;
+constexpr std::int64_t min_memory_mb = 16;
+constexpr std::int64_t max_memory_mb = 1'000'000;
+constexpr std::size_t megabyte = std::size_t{1024} * 1024;
 constexpr double max_link_mbps = 1e9;
 
 asio::ip::tcp::endpoint read_address(object_reader& reader, std::string_view key,
@@ -92,6 +95,10 @@
   const double cores = limits_reader.optional_number("cores", reference_cores, 0.0, max_cores);
   const double link_mbps =
       limits_reader.optional_number("link_mbps", reference_link_mbps, 0.0, max_link_mbps);
+  settings.memory_bytes =
+      megabyte * static_cast<std::size_t>(limits_reader.optional_integer(
+                     "memory_mb", static_cast<std::int64_t>(settings.memory_bytes / megabyte),
+                     min_memory_mb, max_memory_mb));
   limits_reader.finish();
   settings.core.capacity_weight =
       static_cast<int>(std::min(cores / reference_cores, link_mbps / reference_link_mbps));
--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -35,9 +35,11 @@
 } // namespace
 
 struct client::state : std::enable_shared_from_this<client::state> {
-  explicit state(asio::io_context& io_loop) : loop(io_loop) {}
+  state(asio::io_context& io_loop, std::shared_ptr<body_account> bodies)
+      : loop(io_loop), account(std::move(bodies)) {}
 
   asio::io_context& loop;
+  std::shared_ptr<body_account> account;
   std::uint64_t last_exchange = 0;
   std::uint64_t connections_opened = 0;
   std::map<std::uint64_t, std::shared_ptr<connection>> connections_by_exchange;
@@ -48,7 +50,7 @@
 public:
   connection(state& owner, const tcp::endpoint& address)
       : owner_(owner.weak_from_this()), address_(address), socket_(owner.loop),
-        reader_(message_kind::response, answer_limits) {}
+        reader_(message_kind::response, answer_limits, owner.account) {}
 
   void begin(std::uint64_t exchange, std::string request_bytes, bool has_no_body,
              send_options options, completion_handler on_end) {
@@ -226,8 +228,11 @@
       keep_alive_time_ = std::min<core::duration>(max_keep_alive_time, *time - keep_alive_margin);
     }
     core::http_response answer = reader_.take_response();
-    if (options_.is_matching_answer && !options_.is_matching_answer(answer)) {
-      if (!is_persistent || ++dropped_answers_ > max_dropped_answers) {
+    const answer_owner owner =
+        options_.owner_of ? options_.owner_of(answer) : answer_owner::this_request;
+    if (owner != answer_owner::this_request) {
+      if (owner == answer_owner::unidentified || !is_persistent ||
+          ++dropped_answers_ > max_dropped_answers) {
         fail();
       }
       reader_.expect_no_body(has_no_body_);
@@ -311,7 +316,8 @@
   bool is_closed_ = false;
 };
 
-client::client(asio::io_context& loop) : state_(std::make_shared<state>(loop)) {}
+client::client(asio::io_context& loop, std::shared_ptr<body_account> account)
+    : state_(std::make_shared<state>(loop, std::move(account))) {}
 
 client::~client() {
   for (const auto& [exchange, item] : state_->connections_by_exchange) {
--- a/src/arbutuslb/runtime/http/client.h
+++ b/src/arbutuslb/runtime/http/client.h
@@ -33,6 +33,13 @@
   bool is_timeout = false;    // `broken` because of `answer_timeout`
 };
 
+// The request that an answer names.
+enum class answer_owner : std::uint8_t {
+  this_request,
+  another_request, // a late copy of an earlier answer
+  unidentified     // none; the bytes on the connection cannot be trusted
+};
+
 enum class connect_outcome : std::uint8_t {
   connected,
   refused, // no process listens at the address
@@ -46,9 +53,9 @@
   core::duration max_idle = std::chrono::seconds{4};
   // Time limit for the complete answer, counted from `send`; zero: no limit.
   core::duration answer_timeout{};
-  // Returns whether an answer belongs to this request; other answers are dropped. Empty: every
-  // answer is accepted.
-  std::function<bool(const core::http_response&)> is_matching_answer;
+  // Returns which request an answer names. One that names another request is dropped; one that
+  // names none breaks the connection. Empty: every answer is accepted.
+  std::function<answer_owner(const core::http_response&)> owner_of;
   // Called at most once, when the whole request has been written to its connection; never from
   // within `send`, and not after the exchange has ended. May be empty.
   std::function<void()> on_written;
@@ -57,7 +64,8 @@
 // Not thread-safe.
 class client {
 public:
-  explicit client(asio::io_context& loop);
+  // Answers that are being read count in the account, which may be null.
+  explicit client(asio::io_context& loop, std::shared_ptr<body_account> account = nullptr);
   ~client();
   client(const client&) = delete;
   client& operator=(const client&) = delete;
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -4,6 +4,7 @@
 #include "arbutuslb/runtime/http/client.h"
 #include "arbutuslb/runtime/http/server.h"
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/write.hpp>
 #include <criterion/criterion.h>
@@ -24,6 +25,14 @@
   return reader.fault();
 }
 
+// The request that a test sends has the id "mine".
+answer_owner owner_by_id(const core::http_response& answer) {
+  const std::string* id = core::find_header(answer.headers, "Id");
+  return id == nullptr   ? answer_owner::unidentified
+         : *id == "mine" ? answer_owner::this_request
+                         : answer_owner::another_request;
+}
+
 core::http_request get_request(const std::string& target) {
   core::http_request request;
   request.method = "GET";
@@ -132,7 +141,8 @@
         "GET / HTTP/1.1\r\nHost: x\nA: b\r\n\r\n",
         "POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 4\r\n\r\nabcd",
         "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
-        "GET / HTTP/1.1\r\nHost: x\r\nA b: c\r\n\r\n"}) {
+        "GET / HTTP/1.1\r\nHost: x\r\nA b: c\r\n\r\n",
+        "CONNECT x:80 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi"}) {
     cr_assert(fault_of(bytes) == read_fault::malformed, "%s", bytes);
   }
 }
@@ -375,9 +385,7 @@
   client sender(fixture.loop);
   std::optional<exchange_result> end;
   send_options options;
-  options.is_matching_answer = [](const core::http_response& answer) {
-    return *core::find_header(answer.headers, "Id") == "mine";
-  };
+  options.owner_of = owner_by_id;
   core::http_request request = get_request("/1");
   sender.send(acceptor.local_endpoint(), request, options,
               [&](exchange_result result) { end = std::move(result); });
@@ -395,6 +403,80 @@
 
 namespace {
 
+// Accepts one connection, sends `bytes` and closes it; with a reset if `is_reset`. Returns how the
+// exchange ends.
+exchange_result end_with(const std::string& bytes, bool is_reset) {
+  server_fixture fixture;
+  tcp::acceptor acceptor(fixture.loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  client sender(fixture.loop);
+  std::optional<exchange_result> end;
+  send_options options;
+  options.owner_of = owner_by_id;
+  sender.send(acceptor.local_endpoint(), get_request("/1"), options,
+              [&](exchange_result result) { end = std::move(result); });
+  std::optional<tcp::socket> peer;
+  std::array<char, 4096> request{};
+  acceptor.async_accept([&](std::error_code, tcp::socket socket) {
+    peer = std::move(socket);
+    peer->async_read_some(asio::buffer(request), [&](std::error_code, std::size_t) {
+      asio::write(*peer, asio::buffer(bytes));
+      if (is_reset) {
+        peer->set_option(asio::socket_base::linger(true, 0));
+      }
+      peer->close();
+    });
+  });
+  fixture.run_until([&] { return end.has_value(); });
+  return std::move(*end);
+}
+
+} // namespace
+
+Test(client, an_answer_that_breaks_off_at_any_byte_is_not_complete) {
+  const std::string id = "Id: mine\r\nX-Response-Signature: 1\r\n";
+  const std::vector<std::string> answers{
+      "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 5\r\n\r\nright",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + id + "Content-Length: 5\r\n\r\nright",
+      "HTTP/1.1 200 OK\r\n" + id +
+          "Transfer-Encoding: chunked\r\n\r\n5\r\nright\r\n0\r\nA: b\r\n\r\n"};
+  for (const std::string& answer : answers) {
+    cr_assert(end_with(answer, false).outcome == exchange_outcome::answered);
+    for (std::size_t size = 0; size < answer.size(); ++size) {
+      for (const bool is_reset : {false, true}) {
+        cr_assert(end_with(answer.substr(0, size), is_reset).outcome == exchange_outcome::broken,
+                  "%s", answer.substr(0, size).c_str());
+      }
+    }
+  }
+}
+
+Test(client, an_answer_that_names_no_request_breaks_the_connection) {
+  const std::string stray = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                            "Content-Length: 0\r\n\r\n";
+  const std::string own = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nright";
+  cr_assert(end_with(stray, false).outcome == exchange_outcome::broken);
+  cr_assert(end_with(stray + own, false).outcome == exchange_outcome::broken);
+}
+
+Test(client, bodies_without_end_share_one_limit_and_small_answers_pass_beside_them) {
+  asio::io_context loop;
+  const auto account = std::make_shared<body_account>(body_account{std::size_t{1024} * 1024, 0});
+  message_reader large(message_kind::response, {1024, std::size_t{16} * 1024 * 1024}, account);
+  large.consume("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n");
+  const std::string piece(std::size_t{16} * 1024, 'x');
+  for (int i = 0; i < 100 && large.state() == read_state::reading; ++i) {
+    large.consume(piece);
+    cr_assert_leq(account->used, account->limit);
+  }
+  cr_assert(large.state() == read_state::failed);
+  message_reader small(message_kind::response, {1024, 16 * 1024}, account);
+  small.consume("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  cr_assert(small.state() == read_state::complete);
+  cr_assert_eq(small.take_response().body, "ok");
+}
+
+namespace {
+
 // Accepts one connection and sends `piece` after `head` again and again, until the other side
 // closes or `max_bytes` are sent.
 struct endless_server {
@@ -444,9 +526,7 @@
     client sender(fixture.loop);
     std::optional<exchange_result> end;
     send_options options;
-    options.is_matching_answer = [](const core::http_response& answer) {
-      return *core::find_header(answer.headers, "Id") == "mine";
-    };
+    options.owner_of = owner_by_id;
     core::http_request request = get_request("/1");
     sender.send(server.acceptor.local_endpoint(), request, options,
                 [&](exchange_result result) { end = std::move(result); });
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace arbutuslb::runtime::http {
 namespace {
@@ -78,7 +79,7 @@
   }
   static int on_body(http_parser* parser, const char* at, std::size_t size) {
     message_reader& reader = reader_of(parser);
-    if (reader.body_.size() + size > reader.limits_.max_body_bytes) {
+    if (reader.body_.size() + size > reader.limits_.max_body_bytes || !reader.reserve(size)) {
       reader.fail(read_fault::body_too_large);
       return 1;
     }
@@ -108,11 +109,33 @@
   }
 };
 
-message_reader::message_reader(message_kind kind, read_limits limits)
-    : kind_(kind), limits_(limits) {
+message_reader::message_reader(message_kind kind, read_limits limits,
+                               std::shared_ptr<body_account> account)
+    : kind_(kind), limits_(limits), account_(std::move(account)) {
   begin_message();
 }
 
+message_reader::~message_reader() {
+  release_body();
+}
+
+bool message_reader::reserve(std::size_t size) {
+  if (!account_) {
+    return true;
+  }
+  if (account_->used + size > account_->limit && body_.size() + size > unaccounted_body_bytes) {
+    return false;
+  }
+  account_->used += size;
+  return true;
+}
+
+void message_reader::release_body() {
+  if (account_) {
+    account_->used -= body_.size();
+  }
+}
+
 void message_reader::begin_message() {
   http_parser_init(&parser_, kind_ == message_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
@@ -128,6 +151,7 @@
   keep_alive_time_.reset();
   target_.clear();
   headers_.clear();
+  release_body();
   body_.clear();
 }
 
@@ -211,7 +235,9 @@
       expects_continue_ = core::equal_ignoring_case(value, "100-continue");
     }
   }
-  if (kind_ == message_kind::request && host_count != 1) {
+  // A tunnel has no body, so that what follows its headers would be read as a request.
+  const bool is_tunnel = kind_ == message_kind::request && parser_.method == HTTP_CONNECT;
+  if (kind_ == message_kind::request && (host_count != 1 || is_tunnel)) {
     fail(read_fault::malformed);
   }
 }
@@ -266,7 +292,8 @@
   request.method = http_method_str(static_cast<http_method>(parser_.method));
   request.target = std::move(target_);
   request.headers = std::move(headers_);
-  request.body = std::move(body_);
+  release_body();
+  request.body = std::exchange(body_, {});
   begin_message();
   return request;
 }
@@ -276,7 +303,8 @@
   core::http_response response;
   response.status = static_cast<int>(parser_.status_code);
   response.headers = std::move(headers_);
-  response.body = std::move(body_);
+  release_body();
+  response.body = std::exchange(body_, {});
   has_no_body_ = false;
   begin_message();
   return response;
--- a/src/arbutuslb/runtime/http/message_reader.h
+++ b/src/arbutuslb/runtime/http/message_reader.h
@@ -13,6 +13,8 @@
 #include "arbutuslb/core/base/time.h"
 
 #include <http_parser.h>
+#include <limits>
+#include <memory>
 #include <optional>
 #include <string_view>
 
@@ -27,10 +29,22 @@
   std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
 };
 
+// Counts the bytes of bodies that are being read, over all readers that share it.
+struct body_account {
+  std::size_t limit = std::numeric_limits<std::size_t>::max();
+  std::size_t used = 0;
+};
+// A body may grow to this size whatever the account holds.
+inline constexpr std::size_t unaccounted_body_bytes = std::size_t{64} * 1024;
+
 // Not thread-safe; neither copyable nor movable.
 class message_reader {
 public:
-  message_reader(message_kind kind, read_limits limits);
+  // A body that exceeds the limit of the account, which may be null, fails. The account must
+  // outlive the reader.
+  message_reader(message_kind kind, read_limits limits,
+                 std::shared_ptr<body_account> account = nullptr);
+  ~message_reader();
   message_reader(const message_reader&) = delete;
   message_reader& operator=(const message_reader&) = delete;
 
@@ -61,6 +75,9 @@
 private:
   struct callbacks;
   void begin_message();
+  // Returns false if the body may not grow by `size`.
+  bool reserve(std::size_t size);
+  void release_body();
   void fail(read_fault fault);
   bool has_bare_line_feed(std::string_view bytes);
   void finish_headers();
@@ -68,6 +85,7 @@
 
   message_kind kind_;
   read_limits limits_;
+  std::shared_ptr<body_account> account_;
   http_parser parser_{};
   read_state state_ = read_state::reading;
   read_fault fault_ = read_fault::none;
