A stop waits for the last byte of its answers; a gate that starts waits for a peer's report

Cause: the process exited when no request was in progress, also while answers were being written; a new gate took the store's word that nothing is suspected, although its peers knew better. Change: the exit waits until the answers have been written, or until 300 ms before the end of the grace time. A gate that has found peers in the store admits requests once it has a report of one, 500 ms after its start at the latest, as before.

--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -33,8 +33,8 @@
 constexpr std::chrono::seconds discovery_interval{60};
 // In a new era of the store, the daemons register again within this time.
 constexpr std::chrono::seconds registration_spread{2};
-// A new process sends no requests to its upstream until it has read which upstream departed last,
-// or until this time has passed if the store does not answer.
+// A new process sends no requests to its upstream until it has read which upstream departed last
+// and has received the report of a peer, or until this time has passed.
 constexpr std::chrono::milliseconds departure_read_timeout{500};
 // Daemons of each failure domain that read the operators' log; the others fetch from their peers.
 constexpr std::size_t readers_per_domain = 2;
@@ -468,6 +468,9 @@
     return;
   }
   ++shared_.totals.reports_received;
+  if (is_departure_known_) {
+    shared_.registry.set_unusable_until({});
+  }
   const time_point last_contact = shared_.now - aged.age;
   contact& entry = contacts_[report.host];
   entry.last_contact = std::max(entry.last_contact, last_contact);
@@ -492,7 +495,14 @@
 }
 
 void gateway_core::on_peers_discovered(const peers_discovered& found) {
-  shared_.registry.set_unusable_until({});
+  // Peers may know of suspicions that the store has lost; they reply to the report below.
+  const bool has_peers = std::any_of(found.hosts.begin(), found.hosts.end(), [&](const auto& host) {
+    return host != shared_.settings.host;
+  });
+  is_departure_known_ = true;
+  if (!has_peers || shared_.totals.reports_received > 0) {
+    shared_.registry.set_unusable_until({});
+  }
   if (found.departed && shared_.registry.restore_departure(*found.departed, shared_.now)) {
     gate_.on_departure_restored(found.era);
     shared_.write(engine::severity::info, "departure_restored",
--- a/src/arbutuslb/core/gateway/gateway_core.h
+++ b/src/arbutuslb/core/gateway/gateway_core.h
@@ -90,6 +90,7 @@
   bundle_planner bundle_planner_;
   std::uint64_t bundles_sent_ = 0;
   time_point next_contact_expiry_{};
+  bool is_departure_known_ = false; // the store has told which upstream departed last
   bool is_reader_ = false;
   duration reader_poll_wait_{}; // of this daemon, while it is a reader
   bool is_store_reachable_ = true;
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -55,6 +55,8 @@
 // Requests of callers are read for this long after a stop request. By then the platform routes
 // callers to other daemons; a request accepted later might not complete before the process exits.
 constexpr std::chrono::milliseconds stop_reading_after{2200};
+// Answers are written until this long before the end of the grace period.
+constexpr std::chrono::milliseconds exit_reserve{300};
 constexpr std::size_t max_datagram_size = 65507;
 // The store accepts no larger record.
 constexpr std::size_t max_record_bytes = std::size_t{16} * 1024 * 1024;
@@ -184,12 +186,24 @@
       host.log.write(action, host.clock.now());
     }
     void operator()(const gateway::exit_process&) const {
-      host.follower.stop();
-      host.log.flush();
-      host.loop.stop();
+      host.is_exiting = true;
+      host.exit_after_answers();
     }
   };
 
+  // Ends the process once every answer has been written, or shortly before it would be killed.
+  void exit_after_answers() {
+    const core::duration limit = settings.core.grace_period - exit_reserve;
+    const bool has_time =
+        stop_requested_at != core::time_point{} && clock.now() - stop_requested_at < limit;
+    if (has_time && (callers.has_unsent_answers() || peers.has_unsent_answers())) {
+      return;
+    }
+    follower.stop();
+    log.flush();
+    loop.stop();
+  }
+
   // --- requests ---
 
   void send_to_peer(const gateway::send_to_peer& action) {
@@ -554,6 +568,9 @@
       }
     }
     handle(gateway::tick{});
+    if (is_exiting) {
+      exit_after_answers();
+    }
     log.flush();
   }
 
@@ -613,6 +630,7 @@
   std::uint64_t configured_version = 0;
   core::time_point last_sweep_at{};
   core::time_point stop_requested_at{};
+  bool is_exiting = false; // all requests are over; answers may still be written
 };
 
 gateway_host::gateway_host(const gateway_host_settings& settings, std::string settings_path)
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -246,6 +246,29 @@
 
 // Guards against answers lost at shutdown: after SIGTERM the first of several pending answers
 // closed the connection, and later answers were dropped although their requests were passed on.
+Test(server, an_answer_counts_as_unsent_until_its_last_byte_is_written) {
+  constexpr std::size_t size = std::size_t{24} * 1024 * 1024; // more than socket buffers hold
+  server_fixture fixture;
+  tcp::socket socket(fixture.loop);
+  socket.connect(fixture.address);
+  asio::write(socket, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")));
+  fixture.run_until([&] { return fixture.requests.size() == 1; });
+  cr_assert_not(fixture.http_server.has_unsent_answers());
+  fixture.http_server.respond(fixture.requests[0].first, fixture.response(std::string(size, 'a')));
+  cr_assert(fixture.http_server.has_unsent_answers());
+  socket.non_blocking(true);
+  std::vector<char> buffer(std::size_t{1024} * 1024);
+  std::size_t received = 0;
+  fixture.run_until([&] {
+    std::error_code error;
+    received += socket.read_some(asio::buffer(buffer), error);
+    socket.async_wait(tcp::socket::wait_read, [](std::error_code) {});
+    return received > size;
+  });
+  fixture.loop.poll();
+  cr_assert_not(fixture.http_server.has_unsent_answers());
+}
+
 Test(server, a_planned_stop_answers_all_requests_that_were_read_on_a_connection) {
   server_fixture fixture;
   tcp::socket socket(fixture.loop);
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -1,5 +1,6 @@
 #include "arbutuslb/runtime/http/server.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/write.hpp>
@@ -118,6 +119,7 @@
     }
   }
 
+  bool has_unsent_answers() const { return is_writing_ || !output_.empty(); }
   bool is_idle() const { return slots_.empty() && !is_writing_ && !reader_.has_begun(); }
 
   void close() {
@@ -403,6 +405,11 @@
   }
 }
 
+bool server::has_unsent_answers() const {
+  return std::any_of(state_->connections.begin(), state_->connections.end(),
+                     [](const auto& item) { return item->has_unsent_answers(); });
+}
+
 std::size_t server::connection_count() const {
   return state_->connections.size();
 }
--- a/src/arbutuslb/runtime/http/server.h
+++ b/src/arbutuslb/runtime/http/server.h
@@ -62,6 +62,8 @@
   // are still answered.
   void stop_reading();
   std::size_t connection_count() const;
+  // Returns true if a part of an answer has not been written to its connection.
+  bool has_unsent_answers() const;
 
 private:
   class connection;
