A sound version is completed within its exposure limit; few calls tell more of an error rate

Change: the first share is the one that uses 0.2 of the limit by the end of the hold; there is no wait for quiet routes after it; the short steps take 0.6 s, or as long as calls do; the full share is judged for 1.2 s, in which requests at the old version end, so the outcome is recorded 1.8 s after that step (2.2 s before). An increase of the error rate is also a fault if the lower bound of the difference (Newcombe, 4 deviations) exceeds the allowed one, with 5 errors or more. A fault needs 4 errors (3 before): the long hold looks more often.

--- a/src/arbutuslb/core/gateway/rollout_conductor.cc
+++ b/src/arbutuslb/core/gateway/rollout_conductor.cc
@@ -13,8 +13,9 @@
 constexpr std::chrono::seconds checkpoint_period{1};
 // Reserve at the end of the allowed time for recording the outcome.
 constexpr std::chrono::milliseconds record_reserve{2000};
-// Requests at the old version complete within this time after the new one has all traffic.
-constexpr std::chrono::milliseconds drain_time{1200};
+// Requests at the old version complete within this time after the new one has all traffic, also
+// those of daemons that learn of it from a later report.
+constexpr std::chrono::milliseconds drain_time{1800};
 constexpr std::chrono::milliseconds record_retry_delay{500};
 // A new process waits for this long for what its peers know of the versions, before it takes the
 // version of the longest-running upstream for the settled one. In that time it also reads the
@@ -350,8 +351,8 @@
 }
 
 void rollout_conductor::write_outcome(rollout& value) {
-  const bool is_settled = value.phase == rollout_phase::rolled_back ||
-                          shared_.now - value.phase_changed_at >= drain_time;
+  const bool is_settled =
+      value.phase == rollout_phase::rolled_back || shared_.now - value.last_step_at >= drain_time;
   if (is_recorded(value) || value.is_recording || !is_settled ||
       shared_.now < value.next_record_at) {
     return;
--- a/src/arbutuslb/core/moves/judge.cc
+++ b/src/arbutuslb/core/moves/judge.cc
@@ -13,6 +13,9 @@
 // significant if the lower bound of the new version exceeds the upper bound of the old version by
 // more than the allowed increase.
 constexpr double confidence_z = 3.0;
+// Half width of the confidence interval of a difference, and the errors that it requires.
+constexpr double difference_z = 4.0;
+constexpr std::uint64_t min_errors_on_few_calls = 5;
 // The mean latency is a fault if it exceeds the allowed one by more than this many standard errors.
 constexpr double latency_z = 4.0;
 // Increase of the fraction of slow calls that is not a fault.
@@ -35,13 +38,13 @@
 constexpr std::chrono::milliseconds rollback_delay{350};
 // A fault shows after some calls have ended: their number, and the mean latency of the calls.
 constexpr double calls_to_detect = 12;
-constexpr std::array<int, 5> limited_steps_permille{10, 50, 150, 400, 1000};
-// The first share with an exposure limit. The steps after it are short.
-constexpr int limited_first_share_permille = 50;
-// Calls of the new version that are wanted by the end of the first step.
-constexpr double wanted_first_calls = 40;
+constexpr std::array<int, 3> limited_steps_permille{150, 400, 1000}; // after the first one
+// Part of the exposure limit that the first step uses.
+constexpr double first_share_exposure = 0.2;
+// Time of the step at full share. Requests at the old version end within it.
+constexpr std::chrono::milliseconds limited_full_share_time{1200};
 // Time between the end of a short step's minimum time and the next step.
-constexpr std::chrono::milliseconds limited_evidence_delay{250};
+constexpr std::chrono::milliseconds limited_evidence_delay{200};
 // The concurrency limits of the new version's upstreams grow with use, so a step may require up to
 // this multiple of their current sum.
 constexpr double limit_growth_factor = 2.0;
@@ -60,6 +63,23 @@
   return std::to_string(static_cast<int>(std::lround(value))) + "%";
 }
 
+// Returns the lower bound of the difference of the error rates (Newcombe's hybrid score interval).
+// With few calls it is tighter than two separate intervals.
+double lowest_error_increase(const comparison& compared) {
+  const auto rate = [](const cell_totals& cell) {
+    return static_cast<double>(cell.errors) / static_cast<double>(cell.calls);
+  };
+  const double old_rate = rate(compared.old_totals);
+  const double new_rate = rate(compared.new_totals);
+  const double below =
+      new_rate -
+      wilson_interval(compared.new_totals.errors, compared.new_totals.calls, difference_z).low;
+  const double above =
+      wilson_interval(compared.old_totals.errors, compared.old_totals.calls, difference_z).high -
+      old_rate;
+  return new_rate - old_rate - std::hypot(below, above);
+}
+
 std::string error_fault(const comparison& compared) {
   if (compared.new_totals.errors < min_errors) {
     return {};
@@ -71,7 +91,12 @@
   // If the old version has no calls on the route, an error rate significantly above one half (plus
   // the allowed increase) is a fault.
   const double allowed = compared.old_totals.calls == 0 ? 0.5 : old_interval.high;
-  if (new_interval.low <= std::min(0.9, allowed + compared.tested_move.limits.max_error_increase)) {
+  const double increase = compared.tested_move.limits.max_error_increase;
+  const bool is_apart = new_interval.low > std::min(0.9, allowed + increase);
+  const bool is_increased = compared.new_totals.errors >= min_errors_on_few_calls &&
+                            compared.old_totals.calls >= min_route_calls &&
+                            lowest_error_increase(compared) > increase;
+  if (!is_apart && !is_increased) {
     return {};
   }
   return "errors on route " + compared.route + ": " +
@@ -262,7 +287,9 @@
 // The steps of a move and their times.
 class schedule {
 public:
-  schedule(const move& value, bool is_limited) : move_(value), is_limited_(is_limited) {}
+  // `call_time` is the mean latency of the calls.
+  schedule(const move& value, bool is_limited, duration call_time)
+      : move_(value), is_limited_(is_limited), call_time_(call_time) {}
 
   bool is_limited() const { return is_limited_; }
   int next_share(int share) const {
@@ -277,8 +304,12 @@
   bool is_held(int share) const { return is_limited_ && share <= max_first_share_permille; }
   duration min_time_at(int share) const {
     if (is_limited_) {
+      if (share == share_steps_permille.back()) {
+        return std::max<duration>(limited_full_share_time, call_time_ + limited_judgement_time);
+      }
       const duration total = move_.deadline - move_.started;
-      return std::max<duration>(total / 24, min_limited_step_time);
+      return std::max({duration{total / 24}, duration{min_limited_step_time},
+                       call_time_ + limited_judgement_time});
     }
     return share == observation_share_permille ? observation_time(move_) : step_time(move_);
   }
@@ -309,6 +340,7 @@
 
   const move& move_;
   bool is_limited_;
+  duration call_time_;
 };
 
 // Returns the share at which the new version is expected to execute `min_step_calls` within the
@@ -328,13 +360,14 @@
                     max_first_share_permille);
 }
 
-// Returns the share at which the new version is expected to execute `wanted_first_calls` until the
+// Returns the share at which the new version receives a given part of the allowed calls until the
 // hold ends.
-int limited_first_share(double calls_per_second, duration hold_time) {
-  const double expected_calls = calls_per_second * std::chrono::duration<double>(hold_time).count();
+int limited_first_share(const exposure_forecast& forecast, duration hold_time) {
+  const double calls = forecast.calls_per_second * std::chrono::duration<double>(hold_time).count();
   constexpr double permille = 1000.0;
-  const double share = permille * wanted_first_calls / std::max(1.0, expected_calls);
-  return std::clamp(static_cast<int>(std::ceil(share)), limited_first_share_permille,
+  const double share =
+      permille * first_share_exposure * forecast.allowed_calls() / std::max(1.0, calls);
+  return std::clamp(static_cast<int>(share), share_steps_permille.front(),
                     max_first_share_permille);
 }
 
@@ -381,13 +414,28 @@
   if (!has_enough_calls(value, pool, plan, now)) {
     return "any route";
   }
+  // With an exposure limit, the first share has been held for as long as possible.
   const int share = plan.next_share(value.share_permille);
-  const bool is_step_to_high_share =
-      value.share_permille < high_share_permille && share >= high_share_permille;
+  const bool is_step_to_high_share = !plan.is_limited() &&
+                                     value.share_permille < high_share_permille &&
+                                     share >= high_share_permille;
   return is_step_to_high_share && plan.has_time_for(share, now) ? route_with_few_calls(value, pool)
                                                                 : std::string{};
 }
 
+exposure_forecast forecast_of(const move& value, const evidence_pool& pool,
+                              const exposure_limit& limit, time_point now) {
+  const cell_totals old_calls = pool.total_of(value.from);
+  const cell_totals new_calls = pool.total_of(value.to);
+  exposure_forecast forecast;
+  forecast.limit = limit;
+  forecast.exposed_calls = static_cast<double>(new_calls.calls);
+  forecast.total_calls = static_cast<double>(old_calls.calls + new_calls.calls);
+  forecast.calls_per_second = pool.recent_rate(value.started, now);
+  forecast.time_left = value.started + limit.time_allowed - now;
+  return forecast;
+}
+
 // Returns why a version that fails from the step to `share` on would exceed the exposure limit, or
 // an empty string.
 std::string exposure_excess(const move& value, const evidence_pool& pool, const schedule& plan,
@@ -395,19 +443,13 @@
   if (!limit) {
     return {};
   }
-  const cell_totals old_calls = pool.total_of(value.from);
-  const cell_totals new_calls = pool.total_of(value.to);
-  exposure_forecast forecast;
-  forecast.limit = *limit;
-  forecast.exposed_calls = static_cast<double>(new_calls.calls);
-  forecast.total_calls = static_cast<double>(old_calls.calls + new_calls.calls);
-  forecast.calls_per_second = pool.recent_rate(value.started, now);
-  forecast.time_left = value.started + limit->time_allowed - now;
+  exposure_forecast forecast = forecast_of(value, pool, *limit, now);
   const double new_calls_per_second =
       std::max(1.0, forecast.calls_per_second * share / share_steps_permille.back());
   const duration time_to_detect{std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(calls_to_detect / new_calls_per_second))};
-  forecast.reaction_time = rollback_delay + mean_latency_of(new_calls) + time_to_detect;
+  forecast.reaction_time =
+      rollback_delay + mean_latency_of(pool.total_of(value.to)) + time_to_detect;
   const bool is_full = share == share_steps_permille.back();
   const double fraction = !plan.has_time_for(share, now) ? late_exposure
                           : is_full                      ? planned_full_share_exposure
@@ -445,7 +487,8 @@
 
 // Judges a move whose new version has no calls yet.
 judgement judge_start(const move& value, const evidence_pool& pool, const schedule& plan,
-                      time_point step_started_at, time_point now) {
+                      const std::optional<exposure_limit>& limit, time_point step_started_at,
+                      time_point now) {
   const std::string shortage = capacity_shortage(value, pool, share_steps_permille.front());
   if (!shortage.empty()) {
     return wait_judgement(shortage, value, plan, now);
@@ -453,9 +496,9 @@
   if (now - step_started_at < traffic_measurement_time) {
     return wait_judgement("measuring the traffic", value, plan, now);
   }
-  const int share = plan.is_limited() ? limited_first_share(pool.recent_rate(value.started, now),
-                                                            plan.hold_end() - now)
-                                      : first_share(value, pool, now - step_started_at);
+  const int share =
+      limit ? limited_first_share(forecast_of(value, pool, *limit, now), plan.hold_end() - now)
+            : first_share(value, pool, now - step_started_at);
   return {judgement_kind::step, share, "first step", false};
 }
 
@@ -486,14 +529,14 @@
 judgement judge_move(const move& value, const evidence_pool& pool, std::size_t poison_requests,
                      time_point step_started_at, time_point now,
                      const std::optional<exposure_limit>& limit) {
-  const schedule plan(value, limit.has_value());
+  const schedule plan(value, limit.has_value(), mean_latency_of(pool.total_of(value.from)));
   const std::string fault = find_fault(value, pool, poison_requests);
   if (!fault.empty()) {
     return {judgement_kind::brake, 0, fault, false};
   }
   const bool is_in_time = now < value.deadline;
   if (value.share_permille == 0 && is_in_time) {
-    return judge_start(value, pool, plan, step_started_at, now);
+    return judge_start(value, pool, plan, limit, step_started_at, now);
   }
   if (plan.is_held(value.share_permille) && now < plan.hold_end()) {
     return wait_judgement("the share is held while time is left", value, plan, now);
--- a/src/arbutuslb/core/moves/judge.h
+++ b/src/arbutuslb/core/moves/judge.h
@@ -41,15 +41,17 @@
 // fewer calls of either version, latencies are not compared.
 inline constexpr std::uint64_t min_route_calls = 10;
 // Fewer errors of the new version on a route are not considered a fault.
-inline constexpr std::uint64_t min_errors = 3;
+inline constexpr std::uint64_t min_errors = 4;
 // Lower bound of `step_time`.
 inline constexpr std::chrono::seconds min_step_time{1};
 // Time for which the traffic is measured before the first step. The rate of calls determines the
 // share of that step.
 inline constexpr std::chrono::seconds traffic_measurement_time{2};
 inline constexpr int max_first_share_permille = 100;
-// Lower bound of the time of a step above the first share in a move with an exposure limit.
-inline constexpr std::chrono::milliseconds min_limited_step_time{800};
+// Lower bound of the time of a step above the first share in a move with an exposure limit, and the
+// time within which its calls are reported and judged once they have ended.
+inline constexpr std::chrono::milliseconds min_limited_step_time{600};
+inline constexpr std::chrono::milliseconds limited_judgement_time{400};
 // With an exposure limit, calls that such a step requires at its share, besides `min_step_calls` in
 // the whole move.
 inline constexpr std::uint64_t min_limited_step_calls = 10;
--- a/src/arbutuslb/core/moves/judge_benchmark.cc
+++ b/src/arbutuslb/core/moves/judge_benchmark.cc
@@ -1,6 +1,7 @@
-// Compares the judge of moves with its baseline, over many seeds and model versions: time to roll a
-// bad version back, calls that failed or were slow until then, false rollbacks of good versions,
-// and moves completed in time.
+// Compares the judge of moves, with and without an exposure limit, with its baseline, over many
+// seeds and model versions: time to roll a bad version back, calls that failed or were slow until
+// then, false rollbacks of good versions, moves completed in time, and calls of the new version as
+// a fraction of those that the exposure limit allows a bad one.
 
 #include "arbutuslb/bench/bench.h"
 #include "arbutuslb/core/base/random.h"
@@ -34,12 +35,27 @@
   duration stated_time;
 };
 
+enum class policy : std::uint8_t { all_at_once, judge, judge_with_limit };
+
+const char* to_string(policy value) {
+  switch (value) {
+  case policy::all_at_once:
+    return "all_at_once";
+  case policy::judge:
+    return "judge";
+  case policy::judge_with_limit:
+    return "judge_with_limit";
+  }
+  return "unknown";
+}
+
 struct move_result {
   bool rolled_back = false;
   bool done = false;
   duration ended_after{};
   std::uint64_t bad_calls = 0; // failed or slow calls of the new version
   duration first_fault_at{};   // after the start of the move; 0 if the fault never occurred
+  double exposure = 0;         // calls of the new version, as a fraction of those allowed
 };
 
 class move_run {
@@ -53,7 +69,7 @@
     move_.deadline = move_.started + load.stated_time;
   }
 
-  move_result run(bool baseline) {
+  move_result run(policy decides) {
     move_result result;
     time_point now = move_.started;
     time_point step_started_at = now;
@@ -61,8 +77,7 @@
       simulate_period(now - move_.started, result);
       pool_.merge({1}, {1}, report_of("v1", old_version_));
       pool_.merge({2}, {1}, report_of("v2", new_version_));
-      const judgement decided = baseline ? judge_move_at_once(move_, pool_, now)
-                                         : judge_move(move_, pool_, 0, step_started_at, now);
+      const judgement decided = judge(decides, step_started_at, now);
       if ((now - move_.started) % 1s < period) {
         pool_.add_checkpoint(now);
       }
@@ -76,11 +91,30 @@
       }
     }
     result.ended_after = now - move_.started;
+    const double allowed = limit_share * load_.calls_per_second *
+                               std::chrono::duration<double>(load_.stated_time).count() +
+                           limit_extra_calls;
+    result.exposure = static_cast<double>(pool_.total_of("v2").calls) / allowed;
     return result;
   }
 
 private:
-  static constexpr duration period = 500ms;
+  static constexpr duration period = 100ms;
+  static constexpr double limit_share = 0.1;
+  static constexpr double limit_extra_calls = 50;
+
+  judgement judge(policy decides, time_point step_started_at, time_point now) const {
+    switch (decides) {
+    case policy::all_at_once:
+      return judge_move_at_once(move_, pool_, now);
+    case policy::judge:
+      return judge_move(move_, pool_, 0, step_started_at, now);
+    case policy::judge_with_limit:
+      break;
+    }
+    return judge_move(move_, pool_, 0, step_started_at, now,
+                      exposure_limit{limit_share, limit_extra_calls, load_.stated_time});
+  }
   static constexpr double route_shares[] = {0.7, 0.25, 0.05};
 
   protocol::evidence_report report_of(const std::string& version, const evidence_counter& counter) {
@@ -89,7 +123,8 @@
 
   void simulate_period(duration elapsed, move_result& result) {
     for (std::size_t route = 0; route < 3; ++route) {
-      const double calls = load_.calls_per_second * 0.5 * route_shares[route];
+      const double calls = load_.calls_per_second * std::chrono::duration<double>(period).count() *
+                           route_shares[route];
       const double old_share = 1.0 - move_.share_permille / 1000.0;
       simulate_calls(old_version_, route, random_count(calls * old_share), false, result, elapsed);
       const bool is_faulty = elapsed >= fault_.starts_after &&
@@ -131,13 +166,15 @@
   evidence_pool pool_;
 };
 
-void measure(const fault_model& fault, const traffic& load, std::uint64_t seeds, bool baseline) {
+void measure(const fault_model& fault, const traffic& load, std::uint64_t seeds, policy decides) {
   std::vector<double> rollback_seconds;
   std::vector<double> bad_calls;
+  std::vector<double> exposures;
   std::uint64_t rolled_back = 0;
   std::uint64_t done_in_time = 0;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    const move_result result = move_run(fault, load, seed).run(baseline);
+    const move_result result = move_run(fault, load, seed).run(decides);
+    exposures.push_back(result.exposure);
     rolled_back += result.rolled_back ? 1 : 0;
     done_in_time += result.done && result.ended_after <= load.stated_time ? 1 : 0;
     bad_calls.push_back(static_cast<double>(result.bad_calls));
@@ -149,13 +186,15 @@
   const double count = static_cast<double>(seeds);
   report("move_" + fault.name,
          {{"traffic", load.name},
-          {"policy", baseline ? "all_at_once" : "judge"},
+          {"policy", to_string(decides)},
           {"taken_back", figure(static_cast<double>(rolled_back) / count)},
           {"done_in_time", figure(static_cast<double>(done_in_time) / count)},
           {"seconds_to_take_back_median", figure(quantile(rollback_seconds, 0.5))},
           {"seconds_to_take_back_max", figure(quantile(rollback_seconds, 1.0))},
           {"bad_calls_median", figure(quantile(bad_calls, 0.5))},
           {"bad_calls_max", figure(quantile(bad_calls, 1.0))},
+          {"exposure_median", figure(quantile(exposures, 0.5))},
+          {"exposure_max", figure(quantile(exposures, 1.0))},
           {"seeds", std::to_string(seeds)}});
 }
 
@@ -165,19 +204,24 @@
   const std::uint64_t seeds = options.quick ? 20 : 300;
   const traffic saigon{"saigon", 120, 0.01, 6, 120s};
   const traffic amman{"amman", 60, 0.01, 25, 180s};
-  for (const traffic& load : {saigon, amman}) {
+  const traffic short_move{"short", 230, 0.01, 90, 14s};
+  for (const traffic& load : {saigon, amman, short_move}) {
     for (const fault_model& fault : {
              fault_model{"good", 0, 1.0, 0s, 0, false, false},
              fault_model{"fails_at_once", 1.0, 1.0, 0s, 0, false, true},
              fault_model{"fails_one_in_ten", 0.1, 1.0, 0s, 0, false, true},
              fault_model{"fails_later", 0.5, 1.0, 50s, 0, false, true},
+             fault_model{"fails_after_7_s", 0.4, 1.0, 7s, 0, false, true},
+             fault_model{"fails_after_8_s", 0.4, 1.0, 8s, 0, false, true},
+             fault_model{"slow_after_8_s", 0.0, 8.0, 8s, 0, false, true},
              fault_model{"fails_on_one_route", 0.5, 1.0, 0s, 0, true, true},
              fault_model{"fails_under_load", 0.3, 1.0, 0s, 400, false, true},
              fault_model{"slow", 0.0, 3.0, 0s, 0, false, true},
              fault_model{"slow_under_load", 0.0, 2.5, 0s, 400, false, true},
          }) {
-      measure(fault, load, seeds, true);
-      measure(fault, load, seeds, false);
+      for (const policy decides : {policy::all_at_once, policy::judge, policy::judge_with_limit}) {
+        measure(fault, load, seeds, decides);
+      }
     }
   }
 }
