--- a/src/arbutuslb/core/gateway/rollout_test.cc
+++ b/src/arbutuslb/core/gateway/rollout_test.cc
@@ -149,6 +149,32 @@
   }
 }
 
+Test(rollout, a_late_fault_is_found_while_the_evaluator_is_replaced_every_second) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    rollout_play play(seed);
+    play.time_allowed = 14s;
+    gateway_fleet& fleet = play.fixture.fleet;
+    play.on_turn = [&](arbutuslb::core::duration elapsed) {
+      if (elapsed >= 6s) {
+        play.change([](auto& upstream) { upstream.error_share = 0.5; });
+      }
+      if (elapsed > 0s && elapsed % 1s == 0s) {
+        const std::vector<std::string> holders = fleet.daemon(2).directory().role_holders(
+            gateway::rollout_conductor::role_name("menu"), "", 1, fleet.now());
+        for (std::size_t index = 0; index < 8 && !holders.empty(); ++index) {
+          if (holders.front() == "10.0.0." + std::to_string(index + 1)) {
+            fleet.restart(index);
+          }
+        }
+      }
+    };
+    play.run();
+    cr_assert_leq(play.exposed, play.allowed(), "seed %d: %d of %d", static_cast<int>(seed),
+                  static_cast<int>(play.exposed), static_cast<int>(play.total));
+    cr_assert_not(play.has_outcome(gateway::rollout_phase::completed));
+  }
+}
+
 Test(rollout, a_sound_version_with_a_quiet_route_is_completed_in_time) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     rollout_play play(seed);
