The retry budget of a daemon follows the fleet that it learns of

Change: the maximum burst is set with each request; tokens beyond it are lost. Test: gateway::the_retry_budget_of_a_daemon_that_starts_alone_*, red without the change. Also: the counts of evidence are added in one place, and a part of rollout_evidence that nothing used is removed.

--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -533,3 +533,27 @@
   cr_assert_eq(report.instance_id, "i-0");
   cr_assert_eq(report.service, "menu");
 }
+
+// A daemon that finds no peer at its start has a whole mesh's budget until it finds them.
+Test(gateway, the_retry_budget_of_a_daemon_that_starts_alone_shrinks_with_the_peers_that_it_finds) {
+  mesh_fixture fixture;
+  for (const std::size_t at : menu_daemons) {
+    fixture.fleet.upstream(at).error_share = 1.0;
+  }
+  for (std::size_t other = 1; other < 8; ++other) {
+    fixture.fleet.cuts.insert({0, other});
+  }
+  fixture.fleet.restart(0);
+  fixture.fleet.run_for(1s);
+  fixture.fleet.call(0, "shop.example", "/menu/1");
+  fixture.fleet.cuts.clear();
+  fixture.fleet.run_for(5s);
+  const std::uint64_t before = fixture.fleet.daemon(0).totals().repeats;
+  for (int i = 0; i < 20; ++i) {
+    fixture.fleet.call(0, "shop.example", "/menu/1");
+    fixture.fleet.run_for(50ms);
+  }
+  // Half of its share of 60, and a tenth of its calls.
+  constexpr std::uint64_t max_repeats = 30 / 8 + 2 + 1;
+  cr_assert_leq(fixture.fleet.daemon(0).totals().repeats - before, max_repeats);
+}
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -72,8 +72,10 @@
   const double local_extra =
       local_budget_fraction * shared_.settings.retry_extra /
       static_cast<double>(std::max<std::size_t>(1, shared_.directory.live_count(shared_.now)));
-  budgets_.try_emplace(incoming.service, std::max(1.0, local_extra))
-      .first->second.on_call(local_budget_fraction * shared_.settings.retry_ratio);
+  const double max_retries = std::max(1.0, local_extra);
+  routing::retry_budget& budget = budgets_.try_emplace(incoming.service, max_retries).first->second;
+  budget.set_max(max_retries); // the number of daemons changes
+  budget.on_call(local_budget_fraction * shared_.settings.retry_ratio);
   incoming.suspicion = shared_.containment.find(incoming.content, shared_.now);
   if (shared_.containment.judge(incoming.suspicion) == crash_verdict::refuse) {
     refuse_suspect(incoming);
--- a/src/arbutuslb/core/gateway/rollout_evidence.cc
+++ b/src/arbutuslb/core/gateway/rollout_evidence.cc
@@ -55,9 +55,4 @@
   has_faults_ = has_faults_ || is_error || counts_as_late;
 }
 
-void rollout_evidence::on_death(const std::string& route, int share_permille) {
-  counter_.record_execution(route, share_permille, moves::execution_outcome::death, {});
-  has_faults_ = true;
-}
-
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/rollout_evidence.h
+++ b/src/arbutuslb/core/gateway/rollout_evidence.h
@@ -21,7 +21,7 @@
 enum class execution_end : std::uint8_t {
   good,
   error,
-  unanswered, // the upstream closed the connection, or sent no answer in time
+  unanswered, // the upstream sent no answer in time
   cancelled   // by its requester
 };
 
@@ -43,11 +43,9 @@
   // Returns true if the execution has been counted as late now.
   bool on_running(const execution_sample& sample);
   void on_ended(const execution_sample& sample, execution_end end);
-  // The upstream has died.
-  void on_death(const std::string& route, int share_permille);
 
   const std::vector<protocol::evidence_cell>& cells() const noexcept { return counter_.cells(); }
-  // Returns true if an error, a late execution or a death was counted since the last call.
+  // Returns true if an error or a late execution was counted since the last call.
   bool take_has_faults() { return std::exchange(has_faults_, false); }
 
 private:
--- a/src/arbutuslb/core/moves/evidence.cc
+++ b/src/arbutuslb/core/moves/evidence.cc
@@ -19,6 +19,17 @@
   return std::find_if(cells.begin(), cells.end(), is_same);
 }
 
+template <typename Counts>
+void add_counts(cell_totals& sum, const Counts& added) {
+  sum.calls += added.calls;
+  sum.errors += added.errors;
+  sum.late += added.late;
+  sum.deaths += added.deaths;
+  for (std::size_t i = 0; i < sum.latency.size(); ++i) {
+    sum.latency[i] += added.latency[i];
+  }
+}
+
 } // namespace
 
 std::size_t latency_bucket(duration latency) {
@@ -32,23 +43,11 @@
 }
 
 void cell_totals::add(const evidence_cell& cell) {
-  calls += cell.calls;
-  errors += cell.errors;
-  late += cell.late;
-  deaths += cell.deaths;
-  for (std::size_t i = 0; i < latency.size(); ++i) {
-    latency[i] += cell.latency[i];
-  }
+  add_counts(*this, cell);
 }
 
 void cell_totals::add(const cell_totals& other) {
-  calls += other.calls;
-  errors += other.errors;
-  late += other.late;
-  deaths += other.deaths;
-  for (std::size_t i = 0; i < latency.size(); ++i) {
-    latency[i] += other.latency[i];
-  }
+  add_counts(*this, other);
 }
 
 void cell_totals::subtract(const cell_totals& earlier) {
--- a/src/arbutuslb/core/routing/retry_budget.h
+++ b/src/arbutuslb/core/routing/retry_budget.h
@@ -11,6 +11,12 @@
   // `max_tokens` is the maximum number of retries in a burst.
   explicit retry_budget(double max_tokens = 10.0) : max_tokens_(max_tokens), tokens_(max_tokens) {}
 
+  // Changes the maximum burst. Retries beyond it are lost; a higher one is filled by calls.
+  void set_max(double max_tokens) {
+    max_tokens_ = max_tokens;
+    tokens_ = std::min(tokens_, max_tokens_);
+  }
+
   // Adds `fraction` of a retry for one call.
   void on_call(double fraction) { tokens_ = std::min(max_tokens_, tokens_ + fraction); }
 
