--- a/src/arbutuslb/core/moves/judge.h
+++ b/src/arbutuslb/core/moves/judge.h
@@ -83,12 +83,4 @@
 // calls failed, done at the deadline.
 judgement judge_move_at_once(const config::move& value, const evidence_pool& pool, time_point now);
 
-struct proportion_interval {
-  double low = 0;
-  double high = 1;
-};
-// Returns the Wilson score interval of the proportion `hits` / `trials`. `z` is the half width in
-// standard deviations. Returns [0, 1] for no trials.
-proportion_interval wilson_interval(std::uint64_t hits, std::uint64_t trials, double z);
-
 } // namespace arbutuslb::core::moves
