A read of the store is repeated each half second also when as many as may be pending have been sent

Cause: the timer of the repeated reads ended with the third pending one; a silence that ended then was noticed only after all three had failed and a backoff, 1.5 s later than docs/PLATFORM.md says. Test: order_follower::reads_that_are_all_pending_at_the_end_of_a_silence_do_not_delay_the_next_one.

--- a/src/arbutuslb/runtime/order_follower.cc
+++ b/src/arbutuslb/runtime/order_follower.cc
@@ -98,10 +98,12 @@
 void order_follower::schedule_hedge(core::duration delay) {
   hedge_timer_.expires_after(delay);
   hedge_timer_.async_wait([this](std::error_code error) {
-    if (error || is_stopped_ || reads_.empty() || reads_.size() >= max_pending_reads) {
+    if (error || is_stopped_ || reads_.empty()) {
       return;
     }
-    send_read(core::duration::zero());
+    if (reads_.size() < max_pending_reads) {
+      send_read(core::duration::zero());
+    }
     schedule_hedge(hedge_delay);
   });
 }
@@ -110,6 +112,7 @@
                              platform::read_result result) {
   reads_.erase(key);
   if (result.status == platform::read_status::failed && !reads_.empty()) {
+    report_unreachable(result.reason);
     return; // another read may still be answered
   }
   cancel_reads();
@@ -170,11 +173,15 @@
            &order_follower::read_new_records);
 }
 
-void order_follower::schedule_retry(const std::string& reason) {
+void order_follower::report_unreachable(const std::string& reason) {
   if (is_reachable_) {
     is_reachable_ = false;
     on_reachability_change_(false, reason);
   }
+}
+
+void order_follower::schedule_retry(const std::string& reason) {
+  report_unreachable(reason);
   schedule(backoff_after(++failures_),
            has_newest_records_ ? &order_follower::read_new_records : &order_follower::read_newest);
 }
--- a/src/arbutuslb/runtime/order_follower.h
+++ b/src/arbutuslb/runtime/order_follower.h
@@ -57,6 +57,7 @@
   void deliver(platform::read_result result, bool is_complete);
   // Returns the delay before the next read after `failures` failed ones in a row.
   core::duration backoff_after(int failures);
+  void report_unreachable(const std::string& reason);
   void schedule_retry(const std::string& reason);
   void schedule(core::duration delay, void (order_follower::*next)());
 
--- a/src/arbutuslb/runtime/order_follower_test.cc
+++ b/src/arbutuslb/runtime/order_follower_test.cc
@@ -142,3 +142,20 @@
   fixture.append("config", "2");
   cr_assert(fixture.run_until([&] { return fixture.has("config", "2"); }, max_turns));
 }
+
+// As many reads as may be pending at once have been sent into the silence when it ends.
+Test(order_follower, reads_that_are_all_pending_at_the_end_of_a_silence_do_not_delay_the_next_one) {
+  constexpr int max_turns = 120;
+  constexpr std::uint64_t pending = 3;
+  follower_fixture fixture;
+  fixture.append("config", "1");
+  fixture.follower.start();
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "1"); }));
+  fixture.store.faults().is_silent = true;
+  const std::uint64_t calls = fixture.store.calls();
+  fixture.follower.set_following(true, poll_wait);
+  cr_assert(fixture.run_until([&] { return fixture.store.calls() >= calls + pending; }));
+  fixture.store.faults().is_silent = false;
+  fixture.append("config", "2");
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "2"); }, max_turns));
+}
