--- a/src/arbutuslb/fakes/platform_store.cc
+++ b/src/arbutuslb/fakes/platform_store.cc
@@ -205,6 +205,9 @@
   append_number(bytes, records.size());
   append_number(bytes, 0);
   for (std::size_t i = read.from; i < records.size(); ++i) {
+    if (i > read.from && bytes.size() + records[i].content.size() > max_read_bytes) {
+      break;
+    }
     std::array<unsigned char, length_size> length{};
     boost::endian::store_big_u32(length.data(),
                                  static_cast<std::uint32_t>(records[i].content.size()));
--- a/src/arbutuslb/fakes/platform_store.h
+++ b/src/arbutuslb/fakes/platform_store.h
@@ -29,6 +29,9 @@
   core::duration delay{}; // added to each answer
 };
 
+// A read of the log returns records of about this size in all, and one record at least.
+inline constexpr std::size_t max_read_bytes = std::size_t{1024} * 1024;
+
 // Not thread-safe.
 class platform_store {
 public:
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -6,11 +6,11 @@
 #include "arbutuslb/platform/orders.h"
 #include "arbutuslb/platform/requests.h"
 #include "arbutuslb/runtime/clock.h"
-#include "arbutuslb/runtime/compression.h"
 #include "arbutuslb/runtime/gateway_metrics.h"
 #include "arbutuslb/runtime/http/server.h"
 #include "arbutuslb/runtime/log_writer.h"
 #include "arbutuslb/runtime/member_registry.h"
+#include "arbutuslb/runtime/operator_records.h"
 #include "arbutuslb/runtime/order_follower.h"
 #include "arbutuslb/runtime/settings.h"
 #include "arbutuslb/runtime/wire/gateway_codec.h"
@@ -58,8 +58,6 @@
 // Answers are written until this long before the end of the grace period.
 constexpr std::chrono::milliseconds exit_reserve{300};
 constexpr std::size_t max_datagram_size = 65507;
-// The store accepts no larger record.
-constexpr std::size_t max_record_bytes = std::size_t{16} * 1024 * 1024;
 
 std::uint64_t random_seed() {
   std::random_device device;
@@ -320,7 +318,7 @@
       if (request.target == run_path) {
         handle(gateway::run_requested{token, wire::decode_run_request(request.body)});
       } else if (request.target == operator_records_path) {
-        peers.respond(token, plain_response(status_ok, encode_operator_records(request.body)));
+        peers.respond(token, plain_response(status_ok, answer_fetch(request.body, core.operator_records())));
       } else {
         peers.respond(token, plain_response(status_not_found));
       }
@@ -365,24 +363,7 @@
                    {"records", std::to_string(read.records.size())},
                    {"end", std::to_string(read.end_offset)}});
     }
-    gateway::operator_records_received operator_records;
-    // A read may be cut before the end of the log; peers fetch only what comes after `end`.
-    operator_records.end = {read.era, is_complete ? read.end_offset : read.next_offset};
-    operator_records.is_complete = is_complete;
-    std::map<std::string, std::uint64_t> newest; // offset by key
-    for (const platform::store_record& record : read.records) {
-      newest[record.key] = record.offset;
-    }
-    for (platform::store_record& record : read.records) {
-      if (newest[record.key] != record.offset) {
-        continue; // superseded by a newer record of its key; large records take time to decode
-      }
-      std::string compressed = record.value.empty() ? "" : compress(record.value);
-      operator_records.records.push_back(platform::decode_operator_record(
-          {read.era, record.offset}, std::move(record.key), record.value));
-      operator_records.records.back().raw = std::move(compressed);
-    }
-    apply_operator_records(std::move(operator_records));
+    apply_operator_records(decode_read(std::move(read), is_complete));
   }
 
   void apply_operator_records(gateway::operator_records_received operator_records) {
@@ -402,18 +383,6 @@
     }
   }
 
-  std::string encode_operator_records(const std::string& request) {
-    const gateway::log_position from = wire::decode_operator_records_request(request);
-    wire::operator_records_reply reply;
-    reply.end = core.operator_records().end();
-    for (const auto& [key, record] : core.operator_records().records()) {
-      if (record.position >= from) {
-        reply.operator_records.push_back({record.position, key, record.raw});
-      }
-    }
-    return wire::encode(reply);
-  }
-
   void fetch_operator_records(const gateway::fetch_operator_records& action) {
     follower.restart();
     core::http_request request;
@@ -436,15 +405,7 @@
   void take_fetched_records(const std::string& bytes) {
     gateway::operator_records_received operator_records;
     try {
-      wire::operator_records_reply reply = wire::decode_operator_records_reply(bytes);
-      operator_records.end = reply.end;
-      for (wire::stored_record& stored : reply.operator_records) {
-        const std::string value =
-            stored.value.empty() ? "" : decompress(stored.value, max_record_bytes);
-        operator_records.records.push_back(
-            platform::decode_operator_record(stored.position, std::move(stored.key), value));
-        operator_records.records.back().raw = std::move(stored.value);
-      }
+      operator_records = decode_fetched(bytes);
     } catch (const std::runtime_error& error) {
       write_event(core::engine::severity::warning, "peer_message_malformed",
                   {{"reason", error.what()}});
