--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -534,6 +534,27 @@
   cr_assert_eq(report.service, "menu");
 }
 
+// Guards against requests that bear another service's name (UNASKED): a heartbeat of another writer that
+// arrived before the first configuration was checked against nothing and stayed.
+Test(gateway, a_heartbeat_of_another_writer_before_the_first_configuration_is_not_taken) {
+  mesh_fixture fixture;
+  fixture.fleet.is_store_down = true;
+  for (std::size_t at = 1; at < 8; ++at) {
+    fixture.fleet.cuts.insert({0, at}); // so that it gets no configuration from peers
+  }
+  fixture.fleet.restart(0);
+  gateway::heartbeat unknown = fixture.fleet.next_heartbeat(0);
+  unknown.instance_id = "i-odd";
+  unknown.started_ms += 1;
+  unknown.service = "no-such-service";
+  cr_assert_not(fixture.fleet.acknowledged.contains(fixture.fleet.send_heartbeat(0, unknown)));
+  fixture.fleet.cuts.clear();
+  fixture.fleet.run_for(4s);
+  const auto& report = fixture.fleet.daemon(1).directory().peers().at("10.0.0.1").report;
+  cr_assert_eq(report.instance_id, "i-0", "the upstream is %s", report.instance_id.c_str());
+  cr_assert_eq(report.service, "menu");
+}
+
 // A daemon that finds no peer at its start has a whole mesh's budget until it finds them.
 Test(gateway, the_retry_budget_of_a_daemon_that_starts_alone_shrinks_with_the_peers_that_it_finds) {
   mesh_fixture fixture;
--- a/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
@@ -35,7 +35,10 @@
   const std::optional<registered_upstream> previous = shared_.registry.upstream();
   const std::shared_ptr<const mesh_configuration>& configuration =
       shared_.operator_records.configuration();
-  const bool has_service = !configuration || configuration->find_service(value.content.service);
+  // The settings name the service of the upstream that this daemon was started for.
+  const bool has_service =
+      value.content.service == shared_.settings.service ||
+      (configuration && configuration->find_service(value.content.service));
   const heartbeat_verdict verdict = has_service
                                         ? shared_.registry.on_heartbeat(value.content, shared_.now)
                                         : heartbeat_verdict::unknown_service;
