--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -134,14 +134,6 @@
   return host;
 }
 
-bool request_router::has_alternative(const pending_call& pending) {
-  upstream_query query = query_for(pending);
-  query.allows_stale = false;
-  return shared_.directory
-      .choose(query, shared_.operator_records.withdrawn_domains(), shared_.now, shared_.random)
-      .has_value();
-}
-
 void request_router::dispatch(pending_call pending) {
   const std::optional<std::string> host = choose_host(pending);
   if (!host) {
@@ -159,10 +151,10 @@
   const registered_upstream* local_upstream =
       shared_.registry.upstream() ? &*shared_.registry.upstream() : nullptr;
   const auto peer = shared_.directory.peers().find(host);
-  pending.host = host;
-  pending.upstream = {peer->second.report.instance_id, peer->second.report.upstream_started_ms};
-  pending.sent_at = shared_.now;
-  pending.attempt = shared_.next_id();
+  pending.current = {shared_.next_id(),
+                     host,
+                     {peer->second.report.instance_id, peer->second.report.upstream_started_ms},
+                     shared_.now};
   pending.tried.push_back(host);
   ++pending.attempts;
   run_request request;
@@ -176,15 +168,14 @@
   request.time_left = pending.deadline - shared_.now;
   request.target_time_left = pending.received_at + pending.route->target_latency - shared_.now;
   request.rollout_share_permille = pending.rollout_share_permille;
-  request.is_retry = pending.upstreams_reached > 0;
+  request.is_retry = pending.upstreams_reached > 0 || pending.overdue;
   if (pending.suspicion.deaths() > 0) {
     request.suspicion = pending.suspicion;
   }
   request.stated_rate_limit = shared_.directory.stated_rate_limit(host);
-  const std::uint64_t attempt = pending.attempt;
-  attempts_by_token_[pending.token] = attempt;
+  const std::uint64_t attempt = pending.current.id;
   shared_.directory.on_sent(host);
-  pending_.emplace(attempt, std::move(pending));
+  keep(std::move(pending));
   if (host == shared_.settings.host) {
     local_requests_.push_back({attempt, std::move(request)});
   } else {
@@ -192,29 +183,55 @@
   }
 }
 
-bool request_router::on_attempt_completed(const attempt_completed& end) {
-  const auto found = pending_.find(end.attempt);
+void request_router::keep(pending_call pending) {
+  const std::uint64_t attempt = pending.current.id;
+  attempts_by_token_[pending.token] = attempt;
+  if (pending.overdue) {
+    overdue_[pending.overdue->id] = attempt;
+  }
+  pending_.emplace(attempt, std::move(pending));
+}
+
+std::optional<request_router::pending_call> request_router::take(std::uint64_t attempt) {
+  const auto current = overdue_.find(attempt);
+  const auto found = pending_.find(current == overdue_.end() ? attempt : current->second);
   if (found == pending_.end()) {
-    return false;
+    return std::nullopt;
   }
   pending_call pending = std::move(found->second);
   pending_.erase(found);
   attempts_by_token_.erase(pending.token);
-  shared_.directory.on_completed(pending.host);
+  if (pending.overdue) {
+    overdue_.erase(pending.overdue->id);
+  }
+  return pending;
+}
+
+bool request_router::on_attempt_completed(const attempt_completed& end) {
+  std::optional<pending_call> taken = take(end.attempt);
+  if (!taken) {
+    return false;
+  }
+  pending_call pending = std::move(*taken);
+  if (pending.overdue && pending.overdue->id == end.attempt) {
+    std::swap(*pending.overdue, pending.current); // the other one goes on as the overdue one
+  }
+  const std::string& host = pending.current.host;
+  shared_.directory.on_completed(host);
   if (end.is_unreachable) {
-    shared_.directory.on_unreachable(pending.host, shared_.now);
+    shared_.directory.on_unreachable(host, shared_.now);
   } else if (end.result.outcome != run_outcome::unknown) {
-    shared_.directory.on_reachable(pending.host);
+    shared_.directory.on_reachable(host);
   }
   if (end.result.in_flight >= 0) {
-    shared_.directory.on_load(pending.host, end.result.in_flight, end.result.waiting, shared_.now);
+    shared_.directory.on_load(host, end.result.in_flight, end.result.waiting, shared_.now);
   }
   if (end.result.outcome == run_outcome::not_executed && !end.is_unreachable) {
-    shared_.directory.on_refused(pending.host, pending.route->rank,
-                                 shared_.now + refusal_exclusion_time, shared_.now);
+    shared_.directory.on_refused(host, pending.route->rank, shared_.now + refusal_exclusion_time,
+                                 shared_.now);
   }
   if (end.result.notice) {
-    shared_.directory.on_notice(pending.host, pending.upstream, *end.result.notice);
+    shared_.directory.on_notice(host, pending.current.upstream, *end.result.notice);
   }
   shared_.containment.merge(end.result.suspicion, shared_.now);
   pending.last_result = end.result;
@@ -223,7 +240,22 @@
   }
   pending.may_have_executed =
       pending.may_have_executed || end.result.outcome == run_outcome::unknown;
-  retry_or_finish(std::move(pending));
+  if (!pending.overdue) {
+    retry_or_finish(std::move(pending));
+    return true;
+  }
+  const bool is_answered = end.result.outcome == run_outcome::answered;
+  if (is_answered && end.result.answer.status < first_error_status) {
+    cancel(*pending.overdue);
+    pending.overdue.reset();
+    finish(pending);
+    return true;
+  }
+  if (is_answered) {
+    pending.failed_answer = end.result.answer;
+  }
+  pending.current = *std::exchange(pending.overdue, std::nullopt);
+  keep(std::move(pending));
   return true;
 }
 
@@ -255,15 +287,10 @@
     return;
   }
   if (pending.upstreams_reached > 0) {
-    ++shared_.totals.repeats;
-    shared_.write(engine::severity::info, "request_sent_again",
-                  {{"id", pending.content.attempt_id},
-                   {"route", pending.route->name},
-                   {"from", pending.host},
-                   {"to", *host},
-                   {"reason", previous_result.outcome == run_outcome::answered
-                                  ? "status " + std::to_string(previous_result.answer.status)
-                                  : previous_result.reason}});
+    log_repetition(pending, *host,
+                   previous_result.outcome == run_outcome::answered
+                       ? "status " + std::to_string(previous_result.answer.status)
+                       : previous_result.reason);
   }
   send(std::move(pending), *host);
 }
@@ -362,7 +389,7 @@
       {"id", pending.content.attempt_id},
       {"route", pending.route == nullptr ? "" : pending.route->name},
       {"service", pending.service},
-      {"host", pending.host},
+      {"host", pending.current.host},
       {"status", std::to_string(status)},
       {"ms", std::to_string(to_milliseconds(shared_.now - pending.received_at))},
       {"offers", std::to_string(pending.attempts)},
@@ -373,11 +400,23 @@
   shared_.write(engine::severity::info, "request_ended", std::move(fields));
 }
 
-void request_router::cancel(const pending_call& pending) {
-  if (pending.host == shared_.settings.host) {
-    local_cancellations_.push_back(pending.attempt);
+void request_router::log_repetition(const pending_call& pending, const std::string& host,
+                                    const std::string& reason) {
+  ++shared_.totals.repeats;
+  shared_.write(engine::severity::info, "request_sent_again",
+                {{"id", pending.content.attempt_id},
+                 {"route", pending.route->name},
+                 {"from", pending.current.host},
+                 {"to", host},
+                 {"reason", reason}});
+}
+
+void request_router::cancel(const open_attempt& attempt) {
+  shared_.directory.on_completed(attempt.host);
+  if (attempt.host == shared_.settings.host) {
+    local_cancellations_.push_back(attempt.id);
   } else {
-    shared_.add_action(cancel_attempt{pending.attempt});
+    shared_.add_action(cancel_attempt{attempt.id});
   }
 }
 
@@ -386,70 +425,97 @@
   if (found == attempts_by_token_.end()) {
     return;
   }
-  const std::uint64_t attempt = found->second;
-  attempts_by_token_.erase(found);
-  const pending_call pending = std::move(pending_.at(attempt));
-  pending_.erase(attempt);
+  const std::optional<pending_call> pending = take(found->second);
+  if (!pending) {
+    return;
+  }
   ++shared_.totals.callers_disconnected;
-  shared_.directory.on_completed(pending.host);
-  log_completion(pending, 0, "caller disconnected");
-  cancel(pending);
+  log_completion(*pending, 0, "caller disconnected");
+  cancel_all(*pending);
 }
 
-void request_router::time_out_attempt(std::uint64_t attempt) {
-  pending_call pending = std::move(pending_.at(attempt));
-  pending_.erase(attempt);
-  attempts_by_token_.erase(pending.token);
-  shared_.directory.on_completed(pending.host);
-  cancel(pending);
-  pending.last_result = run_result{};
-  pending.last_result.outcome = run_outcome::unknown;
-  pending.last_result.reason =
-      shared_.now >= pending.deadline ? "deadline passed" : "no answer in time";
-  // A peer that has sent a report or an answer since is slow, not unreachable.
-  if (shared_.now < pending.deadline &&
-      !shared_.directory.has_contact_since(pending.host, pending.sent_at)) {
-    shared_.directory.on_unreachable(pending.host, shared_.now);
+void request_router::cancel_all(const pending_call& pending) {
+  cancel(pending.current);
+  if (pending.overdue) {
+    cancel(*pending.overdue);
+  }
+}
+
+void request_router::time_out(std::uint64_t attempt) {
+  std::optional<pending_call> pending = take(attempt);
+  if (!pending) {
+    return;
   }
-  pending.may_have_executed = true;
-  ++pending.upstreams_reached;
-  retry_or_finish(std::move(pending));
+  cancel_all(*pending);
+  pending->last_result = run_result{};
+  pending->last_result.outcome = run_outcome::unknown;
+  pending->last_result.reason = "deadline passed";
+  pending->may_have_executed = true;
+  finish(*pending);
 }
 
-bool request_router::is_overdue(const pending_call& pending) const {
-  if (!pending.route->is_idempotent || shared_.is_stopping ||
+bool request_router::is_overdue(const pending_call& pending, bool has_peer_contact) const {
+  if (!pending.route->is_idempotent || pending.overdue || shared_.is_stopping ||
       shared_.containment.judge(pending.suspicion) != crash_verdict::run ||
+      pending.attempts >= max_attempts ||
       pending.upstreams_reached + 1 >= pending.route->max_upstreams) {
     return false;
   }
   const duration mean = shared_.directory.mean_latency(pending.service, shared_.now);
   const duration overdue_after =
       std::max<duration>(pending.route->target_latency, mean * overdue_latency_multiple);
-  const auto budget = budgets_.find(pending.service);
-  return shared_.now - pending.sent_at >= overdue_after &&
-         pending.deadline - shared_.now >= 2 * mean && budget != budgets_.end() &&
-         budget->second.has_token();
+  const duration elapsed = shared_.now - pending.current.sent_at;
+  if (elapsed >= overdue_after && pending.deadline - shared_.now >= 2 * mean) {
+    return true;
+  }
+  const auto peer = shared_.directory.peers().find(pending.current.host);
+  const bool is_unresponsive = peer == shared_.directory.peers().end() ||
+                               shared_.now - peer->second.last_contact >= unresponsive_peer_timeout;
+  return is_unresponsive && has_peer_contact;
+}
+
+void request_router::send_second_attempt(std::uint64_t attempt) {
+  pending_call& waiting = pending_.at(attempt);
+  upstream_query query = query_for(waiting);
+  query.allows_stale = false;
+  // A faulty new version costs a request one attempt at most.
+  query.allows_version = [this, &waiting](const std::string& version) {
+    return rollouts_.allows(waiting.service, version, false);
+  };
+  const std::optional<std::string> host = shared_.directory.choose(
+      query, shared_.operator_records.withdrawn_domains(), shared_.now, shared_.random);
+  if (!host || !budgets_[waiting.service].take()) {
+    return; // the attempt continues
+  }
+  pending_call pending = std::move(*take(attempt));
+  // A peer that has sent a report or an answer since is slow, not unreachable.
+  if (!shared_.directory.has_contact_since(pending.current.host, pending.current.sent_at)) {
+    shared_.directory.on_unreachable(pending.current.host, shared_.now);
+  }
+  pending.uses_new_version = false;
+  pending.overdue = pending.current;
+  log_repetition(pending, *host, "no answer in time");
+  send(std::move(pending), *host);
 }
 
 void request_router::on_tick() {
   std::vector<std::uint64_t> timed_out;
+  std::vector<std::uint64_t> overdue;
   // If most peers are silent, this daemon itself may be slow or cut off, and not its peers.
   const bool has_peer_contact =
       shared_.directory.live_count(shared_.now) * 2 > shared_.directory.peers().size();
   for (const auto& [attempt, pending] : pending_) {
-    const auto peer = shared_.directory.peers().find(pending.host);
-    const bool is_unresponsive =
-        peer == shared_.directory.peers().end() ||
-        shared_.now - peer->second.last_contact >= unresponsive_peer_timeout;
-    if (shared_.now >= pending.deadline + answer_grace_period ||
-        (is_overdue(pending) && has_alternative(pending)) ||
-        (is_unresponsive && has_peer_contact && pending.route->is_idempotent &&
-         !shared_.is_stopping)) {
+    if (shared_.now >= pending.deadline + answer_grace_period) {
       timed_out.push_back(attempt);
+    } else if (is_overdue(pending, has_peer_contact)) {
+      overdue.push_back(attempt);
     }
   }
   for (const std::uint64_t attempt : timed_out) {
-    time_out_attempt(attempt);
+    time_out(attempt);
+  }
+  for (const std::uint64_t attempt : overdue) {
+    send_second_attempt(attempt);
   }
 }
 
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -6,6 +6,10 @@
 // that the request was not executed. If a retry brings no answer, the caller receives the answer
 // that the retry was to improve on. An unknown outcome is answered with 502, or with 504 after the
 // deadline.
+//
+// An idempotent request whose attempt takes long is sent to a second upstream, and the first answer
+// counts. The earlier attempt continues until then: nothing that runs is given up before something
+// better is known.
 #pragma once
 
 #include "arbutuslb/core/gateway/gateway_context.h"
@@ -45,6 +49,13 @@
   bool is_idle() const { return pending_.empty(); }
 
 private:
+  // An attempt that has not completed.
+  struct open_attempt {
+    std::uint64_t id = 0;
+    std::string host;
+    upstream_incarnation upstream; // of that host
+    time_point sent_at{};
+  };
   struct pending_call {
     std::uint64_t token = 0;
     call content;
@@ -55,10 +66,9 @@
     int rollout_share_permille = -1;
     time_point received_at{};
     time_point deadline{};
-    std::uint64_t attempt = 0;
-    std::string host;              // target of the current attempt
-    upstream_incarnation upstream; // upstream of that host
-    time_point sent_at{};
+    open_attempt current; // or the last one, if it has completed
+    // Attempt that was sent before the current one and has not completed either.
+    std::optional<open_attempt> overdue;
     std::vector<std::string> tried; // hosts of all attempts
     int attempts = 0;               // including the current one
     int upstreams_reached = 0;      // attempts that an upstream received or may have received
@@ -79,23 +89,32 @@
   // Returns the host for the next attempt; nothing if there is none. Falls back from the new
   // version to the old one while a rollout is running.
   std::optional<std::string> choose_host(pending_call& pending);
-  // Returns true if another live upstream is available for the request.
-  bool has_alternative(const pending_call& pending);
   void send(pending_call pending, const std::string& host);
+  // Stores the request until its attempts complete.
+  void keep(pending_call pending);
+  // Removes and returns the request of the attempt; nothing if there is none.
+  std::optional<pending_call> take(std::uint64_t attempt);
   void retry_or_finish(pending_call pending);
   bool is_retry_allowed(const pending_call& pending);
-  // Returns true if the attempt has taken so long that a retry elsewhere is worthwhile and within
-  // the retry budget.
-  bool is_overdue(const pending_call& pending) const;
+  // Returns true if the attempt has taken so long that a second one elsewhere is worthwhile.
+  bool is_overdue(const pending_call& pending, bool has_peer_contact) const;
+  // Sends a second attempt of an overdue request if the retry budget and an upstream allow it.
+  void send_second_attempt(std::uint64_t attempt);
   void update_mean_size(const pending_call& pending);
   void finish(const pending_call& pending);
   void finish_with_status(const pending_call& pending, int status, const std::string& reason,
                           duration retry_after);
   void answer_without_body(std::uint64_t token, int status, duration retry_after);
-  void cancel(const pending_call& pending);
-  // Cancels an attempt that has not been answered in time, and retries or finishes the request.
-  void time_out_attempt(std::uint64_t attempt);
+  void cancel(const open_attempt& attempt);
+  // Cancels the attempts of the request that have not completed.
+  void cancel_all(const pending_call& pending);
+  // Cancels the attempts of a request whose deadline has passed, and answers it.
+  void time_out(std::uint64_t attempt);
   duration retry_after_of(const pending_call& pending);
+  // Counts and logs that the request is sent to another upstream after one that may have executed
+  // it.
+  void log_repetition(const pending_call& pending, const std::string& host,
+                      const std::string& reason);
   void log_completion(const pending_call& pending, int status, const std::string& reason);
 
   gateway_context& shared_;
@@ -103,7 +122,8 @@
   std::map<std::string, weighted_split> splits_;         // by route
   std::map<std::string, double> mean_sizes_;             // request and answer in bytes, by route
   std::map<std::string, routing::retry_budget> budgets_; // by service
-  std::map<std::uint64_t, pending_call> pending_;        // by attempt
+  std::map<std::uint64_t, pending_call> pending_;        // by current attempt
+  std::map<std::uint64_t, std::uint64_t> overdue_;       // current attempt, by overdue one
   std::map<std::uint64_t, std::uint64_t> attempts_by_token_; // by the caller's token
   std::vector<local_request> local_requests_;
   std::vector<std::uint64_t> local_cancellations_;
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -122,6 +122,7 @@
         fleet_ref.nodes_[index].settings.domain != fleet_ref.nodes_[target].settings.domain;
     fleet_ref.datagrams_between_domains += is_cross_domain ? 1 : 0;
     if (fleet_ref.is_cut(index, target) || fleet_ref.exited.contains(target) ||
+        fleet_ref.silent_reporters.contains(index) ||
         (fleet_ref.datagram_loss > 0 && fleet_ref.random_.fraction() < fleet_ref.datagram_loss)) {
       return;
     }
@@ -455,6 +456,13 @@
   });
 }
 
+int gateway_fleet::in_flight_of(std::size_t index) {
+  const std::set<std::uint64_t>& executing = nodes_[index].executing;
+  return static_cast<int>(std::count_if(executing.begin(), executing.end(), [&](auto attempt) {
+    return !cancelled_.contains({index, attempt});
+  }));
+}
+
 void gateway_fleet::kill_upstream(std::size_t index, const std::string& target) {
   node& value = nodes_[index];
   deaths.push_back({now_, index, target});
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -81,6 +81,8 @@
   void kill_upstream(std::size_t index, const std::string& target = "");
 
   core::gateway::gateway_core& daemon(std::size_t index) { return *nodes_[index].core; }
+  // Returns the number of requests at the daemon's upstream that have not been cancelled.
+  int in_flight_of(std::size_t index);
   upstream_behaviour& upstream(std::size_t index) { return nodes_[index].upstream; }
   core::time_point now() const { return now_; }
 
@@ -93,6 +95,7 @@
   std::vector<std::size_t> most_running;             // highest concurrency so far, by daemon
   std::vector<std::vector<core::time_point>> starts; // start times of executions, by daemon
   std::set<std::size_t> exited;
+  std::set<std::size_t> not_reading; // daemons that read no more requests of callers
   std::map<std::string, core::gateway::rollout_phase> outcomes; // recorded in the store, by service
   std::set<std::pair<std::size_t, std::size_t>> cuts; // partitioned pairs, lower index first
   // Requests that kill each upstream that executes them, by target: after this time.
@@ -100,7 +103,8 @@
   std::vector<upstream_death> deaths;
   core::duration down_time = std::chrono::seconds{2};
   core::duration restart_cold_time{};
-  double datagram_loss = 0; // fraction of the reports that are lost
+  double datagram_loss = 0;               // fraction of the reports that are lost
+  std::set<std::size_t> silent_reporters; // daemons whose reports, and bundles with them, are lost
   bool is_store_down = false;
   double cold_load_factor = 1.0; // for daemons that are added later
   double cold_load_extra = 0.0;  // for daemons that are added later
