A connection that is being written when the server stops reading is closed; an exit waits for callers that still read

What callers saw: at a planned stop, a connection whose answer was being written stayed open, took in the next request and never answered it (LOST: a request that was read). An answer whose caller had sent bytes behind its last request could be lost when the process exited, since unread bytes turn the close into a reset. Cause: stop_reading looked at unanswered requests only, and an exit at bytes not yet written only. Change: a connection that is being written closes after that; one that waits for its caller to close is left alone, and counts as unsent for the second that it may last. Evidence: server::a_connection_that_is_being_written_is_closed_after_the_server_stops_reading and an_answer_counts_as_unsent_until_its_caller_has_closed_the_connection failed before and pass.

--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -269,6 +269,65 @@
   cr_assert_not(fixture.http_server.has_unsent_answers());
 }
 
+namespace {
+
+// Reads from a socket until the stream ends, for a bounded number of turns of the loop. Returns the
+// number of bytes; `end` receives the error code that ended the stream, or none.
+std::size_t drain(server_fixture& fixture, tcp::socket& socket, std::error_code& end) {
+  constexpr int max_turns = 2000;
+  std::vector<char> buffer(std::size_t{1024} * 1024);
+  std::size_t received = 0;
+  socket.non_blocking(true);
+  end = {};
+  for (int i = 0; i < max_turns && (!end || end == asio::error::would_block); ++i) {
+    fixture.loop.run_for(std::chrono::milliseconds{1});
+    fixture.loop.restart();
+    received += socket.read_some(asio::buffer(buffer), end);
+  }
+  return received;
+}
+
+} // namespace
+
+// Guards against a request that is read but never answered: a connection whose answer was being
+// written when the server stopped reading remained open, and read the next request.
+Test(server, a_connection_that_is_being_written_is_closed_after_the_server_stops_reading) {
+  constexpr std::size_t size = std::size_t{24} * 1024 * 1024; // more than socket buffers hold
+  server_fixture fixture;
+  tcp::socket socket(fixture.loop);
+  socket.connect(fixture.address);
+  asio::write(socket, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")));
+  fixture.run_until([&] { return fixture.requests.size() == 1; });
+  fixture.http_server.respond(fixture.requests[0].first, fixture.response(std::string(size, 'a')));
+  cr_assert(fixture.http_server.has_unsent_answers());
+  fixture.http_server.stop_reading();
+  std::error_code end;
+  cr_assert_gt(drain(fixture, socket, end), size);
+  cr_assert(end == asio::error::eof, "the connection is still open");
+}
+
+// Guards against a lost last answer: bytes that its caller had sent behind its last request were
+// not read before the process exited, which resets the connection.
+Test(server, an_answer_counts_as_unsent_until_its_caller_has_closed_the_connection) {
+  server_fixture fixture;
+  tcp::socket socket(fixture.loop);
+  socket.connect(fixture.address);
+  asio::write(socket, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: x\r\n"
+                                               "Connection: close\r\n\r\n")));
+  fixture.run_until([&] { return fixture.requests.size() == 1; });
+  fixture.http_server.respond(fixture.requests[0].first, fixture.response("last"));
+  fixture.loop.poll();
+  fixture.loop.restart();
+  asio::write(socket, asio::buffer(std::string("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")));
+  fixture.http_server.stop_reading();
+  cr_assert(fixture.http_server.has_unsent_answers());
+  std::error_code end;
+  cr_assert_gt(drain(fixture, socket, end), 0);
+  cr_assert(end == asio::error::eof, "the connection was reset");
+  socket.close();
+  fixture.run_until([&] { return !fixture.http_server.has_unsent_answers(); });
+}
+
 Test(server, a_planned_stop_answers_all_requests_that_were_read_on_a_connection) {
   server_fixture fixture;
   tcp::socket socket(fixture.loop);
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -112,14 +112,16 @@
   // Closes the connection at once, or after the answers to the requests that were already read.
   void stop_reading() {
     closes_after_slots_ = true;
-    if (slots_.empty() && !is_writing_) {
-      close();
-    } else if (!slots_.empty()) {
+    if (!slots_.empty()) {
       slots_.back().closes_connection = true;
+    } else if (is_writing_) {
+      closes_after_write_ = true;
+    } else if (!is_lingering_) {
+      close();
     }
   }
 
-  bool has_unsent_answers() const { return is_writing_ || !output_.empty(); }
+  bool has_unsent_answers() const { return is_writing_ || is_lingering_ || !output_.empty(); }
   bool is_idle() const { return slots_.empty() && !is_writing_ && !reader_.has_begun(); }
 
   void close() {
--- a/src/arbutuslb/runtime/http/server.h
+++ b/src/arbutuslb/runtime/http/server.h
@@ -62,7 +62,9 @@
   // are still answered.
   void stop_reading();
   std::size_t connection_count() const;
-  // Returns true if a part of an answer has not been written to its connection.
+  // Returns true if a part of an answer has not been written to its connection, or if the caller
+  // has not closed the connection after its last answer. An exit would then reset the connection,
+  // and the answer could be lost. Limited to a second by `sweep`.
   bool has_unsent_answers() const;
 
 private:
