--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -200,12 +200,17 @@
   rollout_phase phase = rollout_phase::running;
   log_position expected_end;
 };
-struct exit_process {};
+// Reads no further requests of callers; those that were read are still answered.
+struct stop_reading_callers {};
+// Exits once every answer has been written, at the latest at `exits_by`.
+struct exit_process {
+  time_point exits_by{};
+};
 
-using action =
-    std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream, probe_upstream,
-                 cancel_attempt, acknowledge_heartbeat, send_reports, follow_operator_log,
-                 fetch_operator_records, discover_peers, record_departure, record_suspicions,
-                 read_outcomes, record_outcome, engine::write_event, exit_process>;
+using action = std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream,
+                            probe_upstream, cancel_attempt, acknowledge_heartbeat, send_reports,
+                            follow_operator_log, fetch_operator_records, discover_peers,
+                            record_departure, record_suspicions, read_outcomes, record_outcome,
+                            engine::write_event, stop_reading_callers, exit_process>;
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -5,6 +5,7 @@
 #include "arbutuslb/core/gateway/crash_containment.h"
 #include "arbutuslb/core/gateway/events.h"
 #include "arbutuslb/core/gateway/peer_directory.h"
+#include "arbutuslb/core/gateway/stop_plan.h"
 
 #include <set>
 #include <utility>
@@ -81,6 +82,7 @@
   std::uint64_t process_epoch;
   std::uint64_t last_id = 0;
   bool is_stopping = false;
+  stop_plan stop; // valid while `is_stopping`
   // A report is to be sent at the end of the event: to peers in the local failure domain, or to
   // all.
   bool is_local_report_due = false;
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -58,10 +58,8 @@
 // A record of suspicions that the store has not accepted is submitted again after this time.
 constexpr std::chrono::seconds suspicion_retry_delay{1};
 constexpr std::chrono::minutes suspicion_eviction_period{1};
-// Callers notice the stop within two readiness checks; open connections are served for that time.
-constexpr std::chrono::milliseconds min_stopping_time{2300};
-// The daemon exits at the latest this long before the end of the grace period.
-constexpr std::chrono::milliseconds stopping_reserve{700};
+// A request that was read last is passed to the core within this time.
+constexpr std::chrono::milliseconds last_request_delay{100};
 
 // Splits a bundle into parts that fit into a datagram each.
 std::vector<report_bundle> split(const report_bundle& bundle) {
@@ -580,21 +578,31 @@
   }
   shared_.is_stopping = true;
   shared_.is_report_due = true;
-  stopping_since_ = shared_.now;
+  shared_.stop = plan_stop(shared_.now, shared_.settings.grace_period);
   shared_.write(engine::severity::info, "stopping", {});
 }
 
 void gateway_core::finish_stopping() {
-  const duration elapsed = shared_.now - stopping_since_;
-  const bool is_complete = gate_.is_idle() && router_.is_idle() && elapsed >= min_stopping_time;
-  if (has_exited_ || (!is_complete && elapsed < shared_.settings.grace_period - stopping_reserve)) {
+  if (has_exited_) {
     return;
   }
+  const stop_plan& plan = shared_.stop;
+  if (!has_stopped_reading_ && shared_.now >= plan.reads_until) {
+    has_stopped_reading_ = true;
+    shared_.add_action(stop_reading_callers{});
+  }
+  const bool is_complete =
+      gate_.is_idle() && router_.is_idle() && shared_.now >= plan.reads_until + last_request_delay;
+  if (!is_complete && shared_.now < plan.answers_by) {
+    return;
+  }
+  router_.end_all("daemon is leaving");
+  gate_.end_all("daemon is leaving");
   has_exited_ = true;
   shared_.write(engine::severity::info, "stopped",
-                {{"after_ms", std::to_string(to_milliseconds(elapsed))},
+                {{"after_ms", std::to_string(to_milliseconds(shared_.now - plan.requested))},
                  {"complete", is_complete ? "true" : "false"}});
-  shared_.add_action(exit_process{});
+  shared_.add_action(exit_process{plan.exits_by});
 }
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/gateway_core.h
+++ b/src/arbutuslb/core/gateway/gateway_core.h
@@ -50,7 +50,8 @@
   void on_report(const aged_report& report);
   void on_peers_discovered(const peers_discovered& found);
   void begin_stopping();
-  // Exits once no request is in progress, or shortly before the grace period ends.
+  // Stops reading requests, answers those that are still in progress, and exits, each when it is
+  // due.
   void finish_stopping();
   // Passes local requests, cancellations and results between the router and the gate until none is
   // left, then sends a report if one is due.
@@ -102,7 +103,7 @@
   std::optional<std::uint64_t> suspicion_era_; // era of the store that has the record
   time_point next_suspicion_record_{};
   time_point next_eviction_{};
-  time_point stopping_since_{};
+  bool has_stopped_reading_ = false;
   bool has_exited_ = false;
   bool was_usable_ = false;
 };
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -98,6 +98,10 @@
   // Returns the mean latency over the usable upstreams of a service; zero if there is none. May be
   // `summary_period` old.
   duration mean_latency(std::string_view service, time_point now) const;
+  // Returns the mean latency of the route over the upstreams that have measured it; if none has,
+  // that of the service, or a default. May be
+  // `summary_period` old.
+  duration typical_latency(const upstream_query& query, time_point now) const;
   // Returns the number of live daemons, including this one. May be `summary_period` old.
   std::size_t live_count(time_point now) const;
   // Returns a random live peer that has operator records beyond `end`, in the local failure
@@ -166,9 +170,6 @@
   bool is_leaving(const host_entry& item) const;
   // `typical` is the latency assumed for an upstream that has not measured the route.
   double risk_of(const peer& candidate, const upstream_query& query, duration typical) const;
-  // Returns the mean latency of the route over the upstreams that have measured it; if none has,
-  // that of the service, or a default.
-  duration typical_latency(const upstream_query& query, time_point now) const;
   bool is_live(const peer& candidate, time_point now) const;
 
   std::string local_domain_;
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -18,6 +18,7 @@
 // this value, whichever is longer.
 constexpr std::chrono::milliseconds default_retry_after{150};
 constexpr std::chrono::milliseconds no_configuration_retry_after{500};
+constexpr std::chrono::milliseconds leaving_retry_after{500};
 // A daemon that refused a request is excluded for this long.
 constexpr std::chrono::milliseconds refusal_exclusion_time{20};
 // An idempotent request is retried elsewhere if its peer has sent no report or answer for this
@@ -64,6 +65,11 @@
                                       : incoming.route->timeout;
   incoming.deadline = shared_.now + std::min(requested_time, incoming.route->timeout);
   incoming.service = splits_[incoming.route->name].next(incoming.route->split);
+  if (outlasts_stop(incoming)) {
+    ++shared_.totals.refused;
+    finish_with_status(incoming, status_unavailable, "daemon is leaving", leaving_retry_after);
+    return;
+  }
   incoming.uses_new_version = rollouts_.assign_to_new_version(incoming.service);
   const rollout_conductor::rollout* rollout = rollouts_.find(incoming.service);
   if (rollout != nullptr && rollout->phase == rollout_phase::running) {
@@ -84,6 +90,21 @@
   dispatch(std::move(incoming));
 }
 
+time_point request_router::latest_answer(const pending_call& pending) const {
+  return shared_.is_stopping
+             ? std::min(pending.deadline, shared_.stop.answers_by - answer_grace_period)
+             : pending.deadline;
+}
+
+bool request_router::outlasts_stop(const pending_call& pending) const {
+  const time_point latest = latest_answer(pending);
+  if (latest >= pending.deadline) {
+    return false;
+  }
+  const duration typical = shared_.directory.typical_latency(query_for(pending), shared_.now);
+  return shared_.now + typical + typical / 4 > latest;
+}
+
 upstream_query request_router::query_for(const pending_call& pending) const {
   upstream_query query;
   query.service = pending.service;
@@ -165,7 +186,7 @@
   request.route = pending.route->name;
   request.rank = pending.route->rank;
   request.is_idempotent = pending.route->is_idempotent;
-  request.time_left = pending.deadline - shared_.now;
+  request.time_left = latest_answer(pending) - shared_.now;
   request.target_time_left = pending.received_at + pending.route->target_latency - shared_.now;
   request.rollout_share_permille = pending.rollout_share_permille;
   request.is_retry = pending.upstreams_reached > 0 || pending.overdue;
@@ -314,7 +335,7 @@
   if (pending.may_have_executed && !pending.route->is_idempotent) {
     return false;
   }
-  const duration left = pending.deadline - shared_.now;
+  const duration left = latest_answer(pending) - shared_.now;
   const duration needed = shared_.directory.mean_latency(pending.service, shared_.now);
   return pending.attempts < max_attempts &&
          pending.upstreams_reached < pending.route->max_upstreams && left > needed;
@@ -441,7 +462,7 @@
   }
 }
 
-void request_router::time_out(std::uint64_t attempt) {
+void request_router::give_up(std::uint64_t attempt, const std::string& reason) {
   std::optional<pending_call> pending = take(attempt);
   if (!pending) {
     return;
@@ -449,11 +470,17 @@
   cancel_all(*pending);
   pending->last_result = run_result{};
   pending->last_result.outcome = run_outcome::unknown;
-  pending->last_result.reason = "deadline passed";
+  pending->last_result.reason = reason;
   pending->may_have_executed = true;
   finish(*pending);
 }
 
+void request_router::end_all(const std::string& reason) {
+  while (!pending_.empty()) {
+    give_up(pending_.begin()->first, reason);
+  }
+}
+
 bool request_router::is_overdue(const pending_call& pending, bool has_peer_contact) const {
   if (!pending.route->is_idempotent || pending.overdue || shared_.is_stopping ||
       shared_.containment.judge(pending.suspicion) != crash_verdict::run ||
@@ -512,7 +539,7 @@
     }
   }
   for (const std::uint64_t attempt : timed_out) {
-    time_out(attempt);
+    give_up(attempt, "deadline passed");
   }
   for (const std::uint64_t attempt : overdue) {
     send_second_attempt(attempt);
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -34,6 +34,8 @@
   // Returns false if the attempt does not belong to the router.
   bool on_attempt_completed(const attempt_completed& end);
   void on_tick();
+  // Cancels all attempts and answers all requests.
+  void end_all(const std::string& reason);
 
   struct local_request {
     std::uint64_t attempt = 0;
@@ -81,6 +83,11 @@
     std::optional<http_response> failed_answer;
   };
 
+  // Returns until when the request must have been answered: its deadline, or earlier if this daemon
+  // stops before.
+  time_point latest_answer(const pending_call& pending) const;
+  // Returns true if the request cannot be expected to complete before this daemon exits.
+  bool outlasts_stop(const pending_call& pending) const;
   void dispatch(pending_call pending);
   // Answers a request that crashes its upstreams.
   void refuse_suspect(const pending_call& pending);
@@ -108,8 +115,8 @@
   void cancel(const open_attempt& attempt);
   // Cancels the attempts of the request that have not completed.
   void cancel_all(const pending_call& pending);
-  // Cancels the attempts of a request whose deadline has passed, and answers it.
-  void time_out(std::uint64_t attempt);
+  // Cancels the attempts of the request and answers it.
+  void give_up(std::uint64_t attempt, const std::string& reason);
   duration retry_after_of(const pending_call& pending);
   // Counts and logs that the request is sent to another upstream after one that may have executed
   // it.
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -497,6 +497,23 @@
   }
 }
 
+void upstream_gate::end_all(const std::string& reason) {
+  refuse_queued(reason);
+  run_result result;
+  result.reached_upstream = true;
+  result.reason = reason;
+  for (const auto& [token, value] : executions_) {
+    if (!value.is_local && !value.is_abandoned) {
+      reply(value, result);
+    }
+  }
+  for (const interruption& item : interrupted_) {
+    if (!item.ended.is_local && !item.ended.is_abandoned) {
+      reply(item.ended, result);
+    }
+  }
+}
+
 void upstream_gate::on_peer_disconnected(std::uint64_t token) {
   abandon(false, token);
 }
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -53,6 +53,8 @@
   void on_tick();
 
   bool is_idle() const { return executions_.empty() && interrupted_.empty(); }
+  // Answers all requests of peers: those that wait as not executed, the others as unknown.
+  void end_all(const std::string& reason);
   // Sets the fields of the report that describe the upstream.
   void describe(peer_report& report);
   // Returns the evidence for the running rollout of the local service; nothing if none is running.
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -198,6 +198,7 @@
         });
   }
   void operator()(const core::engine::write_event& action) const { fleet.log.push_back(action); }
+  void operator()(const gateway::stop_reading_callers&) const { fleet.not_reading.insert(index); }
   void operator()(const gateway::exit_process&) const { fleet.exited.insert(index); }
 };
 
@@ -232,6 +233,7 @@
   value.log_position = 0;
   value.next_heartbeat = now_ + random_.jitter(std::chrono::milliseconds{300});
   exited.erase(index);
+  not_reading.erase(index);
   deliver_log(index);
 }
 
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -52,11 +52,6 @@
 constexpr std::chrono::milliseconds non_idempotent_max_idle{1500};
 constexpr std::chrono::seconds idempotent_max_idle{4};
 constexpr std::chrono::milliseconds fetch_timeout{1000};
-// Requests of callers are read for this long after a stop request. By then the platform routes
-// callers to other daemons; a request accepted later might not complete before the process exits.
-constexpr std::chrono::milliseconds stop_reading_after{2200};
-// Answers are written until this long before the end of the grace period.
-constexpr std::chrono::milliseconds exit_reserve{300};
 constexpr std::size_t max_datagram_size = 65507;
 
 std::uint64_t random_seed() {
@@ -183,18 +178,16 @@
     void operator()(const core::engine::write_event& action) const {
       host.log.write(action, host.clock.now());
     }
-    void operator()(const gateway::exit_process&) const {
-      host.is_exiting = true;
+    void operator()(const gateway::stop_reading_callers&) const { host.callers.stop_reading(); }
+    void operator()(const gateway::exit_process& action) const {
+      host.exits_by = action.exits_by;
       host.exit_after_answers();
     }
   };
 
-  // Ends the process once every answer has been written, or shortly before it would be killed.
+  // Ends the process once every answer has been written, or when its time is over.
   void exit_after_answers() {
-    const core::duration limit = settings.core.grace_period - exit_reserve;
-    const bool has_time =
-        stop_requested_at != core::time_point{} && clock.now() - stop_requested_at < limit;
-    if (has_time && (callers.has_unsent_answers() || peers.has_unsent_answers())) {
+    if (clock.now() < *exits_by && (callers.has_unsent_answers() || peers.has_unsent_answers())) {
       return;
     }
     follower.stop();
@@ -318,7 +311,8 @@
       if (request.target == run_path) {
         handle(gateway::run_requested{token, wire::decode_run_request(request.body)});
       } else if (request.target == operator_records_path) {
-        peers.respond(token, plain_response(status_ok, answer_fetch(request.body, core.operator_records())));
+        peers.respond(
+            token, plain_response(status_ok, answer_fetch(request.body, core.operator_records())));
       } else {
         peers.respond(token, plain_response(status_not_found));
       }
@@ -523,13 +517,9 @@
       for (http::client* item : {&peer_client, &upstream_client, &store_connections}) {
         item->sweep(now);
       }
-      if (stop_requested_at != core::time_point{} &&
-          now - stop_requested_at >= stop_reading_after) {
-        callers.stop_reading();
-      }
     }
     handle(gateway::tick{});
-    if (is_exiting) {
+    if (exits_by) {
       exit_after_answers();
     }
     log.flush();
@@ -543,7 +533,6 @@
       if (number == SIGHUP) {
         reload();
       } else {
-        stop_requested_at = clock.now();
         callers.close_after_answers();
         handle(gateway::stop_requested{});
       }
@@ -590,8 +579,8 @@
   std::map<std::uint64_t, std::pair<http::client*, std::uint64_t>> exchanges; // by attempt
   std::uint64_t configured_version = 0;
   core::time_point last_sweep_at{};
-  core::time_point stop_requested_at{};
-  bool is_exiting = false; // all requests are over; answers may still be written
+  // Set once all requests have been answered; the answers may still be being written.
+  std::optional<core::time_point> exits_by;
 };
 
 gateway_host::gateway_host(const gateway_host_settings& settings, std::string settings_path)
