--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -96,12 +96,14 @@
                 {[this](std::uint64_t token, core::http_request request) {
                    handle(gateway::call_received{token, platform::decode_call(std::move(request))});
                  },
-                 [this](std::uint64_t token) { handle(gateway::caller_disconnected{token}); }}),
+                 [this](std::uint64_t token) { handle(gateway::caller_disconnected{token}); },
+                 [this](const std::string& reason) { log_accept_failure("callers", reason); }}),
         peers(loop, values.peers,
               {[this](std::uint64_t token, const core::http_request& request) {
                  on_peer_request(token, request);
                },
-               [this](std::uint64_t token) { handle(gateway::peer_disconnected{token}); }}),
+               [this](std::uint64_t token) { handle(gateway::peer_disconnected{token}); },
+               [this](const std::string& reason) { log_accept_failure("peers", reason); }}),
         upstreams(loop, values.upstreams,
                   {[this](std::uint64_t token, const core::http_request& request) {
                      on_upstream_call(token, request);
@@ -132,6 +134,11 @@
     log.write({level, std::move(name), std::move(fields)}, clock.now());
   }
 
+  void log_accept_failure(const char* edge, const std::string& reason) {
+    write_event(core::engine::severity::error, "accept_failed",
+                {{"edge", edge}, {"reason", reason}});
+  }
+
   void handle(gateway::event value) {
     for (gateway::action& item : core.handle(std::move(value), clock.now())) {
       std::visit(action_executor{*this}, item);
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -9,6 +9,7 @@
 #include <asio/write.hpp>
 #include <criterion/criterion.h>
 #include <functional>
+#include <sys/resource.h>
 
 namespace {
 
@@ -328,6 +329,38 @@
   fixture.run_until([&] { return !fixture.http_server.has_unsent_answers(); });
 }
 
+// Guards against a busy loop: a connection that could not be accepted for want of descriptors was
+// accepted again at once, and all processor time went into that.
+Test(server, an_accept_that_fails_is_repeated_after_a_while) {
+  asio::io_context loop;
+  const tcp::endpoint address = server_fixture::free_address();
+  int failures = 0;
+  int requests = 0;
+  server tested(loop, address,
+                {[&](std::uint64_t, const core::http_request&) { ++requests; },
+                 [](std::uint64_t) {}, [&](const std::string&) { ++failures; }});
+  tcp::socket caller(loop);
+  caller.connect(address);
+  asio::write(caller, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")));
+  rlimit limit{};
+  cr_assert_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
+  const rlimit none{3, limit.rlim_max}; // fewer than are open
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &none), 0);
+  constexpr int periods = 5;
+  for (int i = 0; i < periods; ++i) {
+    loop.run_for(std::chrono::milliseconds{40});
+    loop.restart();
+  }
+  cr_assert(failures > 0);
+  cr_assert_leq(failures, periods, "%d failures", failures);
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+  for (int i = 0; i < periods && requests == 0; ++i) {
+    loop.run_for(std::chrono::milliseconds{40});
+    loop.restart();
+  }
+  cr_assert_eq(requests, 1);
+}
+
 Test(server, a_planned_stop_answers_all_requests_that_were_read_on_a_connection) {
   server_fixture fixture;
   tcp::socket socket(fixture.loop);
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <deque>
 #include <map>
@@ -20,6 +21,8 @@
 constexpr std::size_t read_buffer_size = std::size_t{32} * 1024;
 constexpr std::size_t max_reads_per_wakeup = 4;
 constexpr std::size_t reserved_tokens = 8;
+// An accept that has failed, usually for want of descriptors, is repeated after this time.
+constexpr std::chrono::milliseconds accept_retry_delay{50};
 // How long the server waits for the caller to close the connection after the last answer. Allows
 // for several round trips.
 constexpr std::chrono::seconds linger_time{1};
@@ -43,12 +46,14 @@
 
 struct server::state : std::enable_shared_from_this<server::state> {
   state(asio::io_context& io_loop, const tcp::endpoint& address, server_handlers callbacks)
-      : loop(io_loop), acceptor(io_loop, address), handlers(std::move(callbacks)) {}
+      : loop(io_loop), acceptor(io_loop, address), accept_timer(io_loop),
+        handlers(std::move(callbacks)) {}
 
   void accept();
 
   asio::io_context& loop;
   tcp::acceptor acceptor;
+  asio::steady_timer accept_timer;
   server_handlers handlers;
   server_options options;
   bool closes_after_answers = false;
@@ -346,15 +351,26 @@
     if (error == asio::error::operation_aborted) {
       return;
     }
-    if (!error) {
-      std::error_code ignored; // the first read reports a socket that is closed already
-      socket.non_blocking(true, ignored);
-      socket.set_option(tcp::no_delay(true), ignored);
-      const std::shared_ptr<connection> accepted =
-          std::make_shared<connection>(*self, std::move(socket));
-      self->connections.insert(accepted);
-      accepted->start();
+    if (error) {
+      // The connection remains in the queue, so that the next attempt would fail at once.
+      if (self->handlers.on_accept_failed) {
+        self->handlers.on_accept_failed(error.message());
+      }
+      self->accept_timer.expires_after(accept_retry_delay);
+      self->accept_timer.async_wait([self](std::error_code cancelled) {
+        if (!cancelled) {
+          self->accept();
+        }
+      });
+      return;
     }
+    std::error_code ignored; // the first read reports a socket that is closed already
+    socket.non_blocking(true, ignored);
+    socket.set_option(tcp::no_delay(true), ignored);
+    const std::shared_ptr<connection> accepted =
+        std::make_shared<connection>(*self, std::move(socket));
+    self->connections.insert(accepted);
+    accepted->start();
     self->accept();
   });
 }
@@ -367,6 +383,7 @@
 server::~server() {
   std::error_code ignored;
   state_->acceptor.close(ignored);
+  state_->accept_timer.cancel();
   state_->handlers.on_disconnected = [](std::uint64_t) {};
   for (const std::shared_ptr<connection>& item : std::set(state_->connections)) {
     item->close();
@@ -400,6 +417,7 @@
 void server::stop_reading() {
   std::error_code ignored; // the listener may be closed already
   state_->acceptor.close(ignored);
+  state_->accept_timer.cancel();
   const std::vector<std::shared_ptr<connection>> all(state_->connections.begin(),
                                                      state_->connections.end());
   for (const std::shared_ptr<connection>& item : all) {
--- a/src/arbutuslb/runtime/http/server.h
+++ b/src/arbutuslb/runtime/http/server.h
@@ -37,6 +37,8 @@
   std::function<void(std::uint64_t token, core::http_request request)> on_request;
   // Called if the connection is closed before its request was answered.
   std::function<void(std::uint64_t token)> on_disconnected;
+  // Called when a connection could not be accepted, with the reason; may be empty.
+  std::function<void(const std::string& reason)> on_accept_failed = {};
 };
 
 // Not thread-safe.
