A daemon outlives the reader of its log (FAULT)

What callers saw: the process ended when the reader of its standard output exited, with all requests that it had accepted. Cause: a write to a pipe without a reader raises SIGPIPE, whose default ends the process. The log writer treats the failed write as lost lines, but never came to see it. Change: SIGPIPE is ignored from the start of main, and a standard stream that is closed is /dev/null, so that no socket takes its number. Evidence: cli::a_daemon_outlives_the_reader_of_its_log failed before (the process had ended) and passes. With stdout closed, or on a full disk, the process lived before and after. Ruled out: a log call that blocks the loop (the writer polls before each write).

--- a/src/arbutuslb/main/main.cc
+++ b/src/arbutuslb/main/main.cc
@@ -5,6 +5,7 @@
 #include "arbutuslb/runtime/deferred_signals.h"
 #include "arbutuslb/runtime/gateway_host.h"
 #include "arbutuslb/runtime/logging.h"
+#include "arbutuslb/runtime/process_start.h"
 
 #include <cstring>
 #include <getopt.h>
@@ -123,6 +124,7 @@
 }
 
 int run(int argc, char** argv) {
+  runtime::protect_standard_streams();
   const std::string command = argc > 1 ? argv[1] : "";
   if (command == "daemon") {
     return run_daemon(argc - 1, argv + 1);
