A daemon waits for whole settings and free addresses when it starts (FAULT)

What callers saw: a daemon that was started while its settings file was being replaced, or while another process still held one of its addresses, ended at once ("the system didn't start"). Cause: one attempt at reading and at binding, each of whose failures ended the process. Class: a passing condition of the surroundings that is taken for a final one. Settings that are whole but wrong end the process at once, as before.

--- a/src/arbutuslb/main/main.cc
+++ b/src/arbutuslb/main/main.cc
@@ -76,7 +76,9 @@
 template <typename Parse, typename Run>
 int run_with_settings(const settings_arguments& arguments, Parse parse, Run run) {
   try {
-    const auto settings = parse(runtime::read_file(arguments.path));
+    const auto settings =
+        parse(arguments.checks_only ? runtime::read_file(arguments.path)
+                                    : runtime::read_settings_text(arguments.path));
     if (arguments.checks_only) {
       std::cout << "settings=ok\n";
       return 0;
@@ -117,9 +119,12 @@
   }
   return run_with_settings(*arguments, runtime::parse_gateway_settings,
                            [&](const runtime::gateway_host_settings& settings) {
-                             runtime::gateway_host host(settings, arguments->path);
+                             std::optional<runtime::gateway_host> host;
+                             runtime::retry_while_address_is_unavailable(
+                                 [&] { host.emplace(settings, arguments->path); },
+                                 runtime::deferred_signals::is_stop_pending);
                              signals.release();
-                             host.run();
+                             host->run();
                            });
 }
 
--- a/src/arbutuslb/runtime/deferred_signals.cc
+++ b/src/arbutuslb/runtime/deferred_signals.cc
@@ -28,4 +28,11 @@
   change_mask(SIG_UNBLOCK);
 }
 
+bool deferred_signals::is_stop_pending() {
+  sigset_t pending;
+  sigemptyset(&pending);
+  sigpending(&pending);
+  return sigismember(&pending, SIGINT) == 1 || sigismember(&pending, SIGTERM) == 1;
+}
+
 } // namespace arbutuslb::runtime
--- a/src/arbutuslb/runtime/deferred_signals.h
+++ b/src/arbutuslb/runtime/deferred_signals.h
@@ -18,6 +18,8 @@
   // Unblocks the signals, also if the process was started with them blocked. Throws
   // `std::system_error`.
   void release();
+  // Returns true if SIGINT or SIGTERM is being held back.
+  static bool is_stop_pending();
 };
 
 } // namespace arbutuslb::runtime
