--- a/src/arbutuslb/platform/store_client.cc
+++ b/src/arbutuslb/platform/store_client.cc
@@ -179,23 +179,25 @@
     : connections_(connections), address_(address) {}
 
 std::uint64_t store_client::send_request(core::http_request request, core::duration timeout,
+                                         connection_choice choice,
                                          http::client::completion_handler on_result) {
   ++calls_;
   request.headers.emplace_back("Host", address_.address().to_string());
   http::send_options options;
   options.connect_timeout = connect_timeout;
-  options.max_idle = max_connection_idle;
+  options.max_idle = choice == connection_choice::any ? core::duration{max_connection_idle}
+                                                      : core::duration::zero();
   options.answer_timeout = timeout;
   return connections_.send(address_, request, std::move(options), std::move(on_result));
 }
 
-void store_client::read_newest(const std::string& topic,
-                               std::function<void(read_result)> on_result) {
-  read_page(topic, "", {}, std::move(on_result));
+void store_client::read_newest(const std::string& topic, std::function<void(read_result)> on_result,
+                               connection_choice choice) {
+  read_page(topic, "", {}, choice, std::move(on_result));
 }
 
 void store_client::read_page(const std::string& topic, const std::string& after,
-                             read_result partial_result,
+                             read_result partial_result, connection_choice choice,
                              std::function<void(read_result)> on_result) {
   core::http_request request;
   request.method = "GET";
@@ -213,7 +215,8 @@
     }
     const std::uint64_t era = decode_era(exchange.answer);
     if (!after.empty() && era != partial_result.era) {
-      read_page(topic, "", {}, std::move(on_result)); // the earlier pages are of another log
+      read_page(topic, "", {}, connection_choice::any,
+                std::move(on_result)); // the earlier pages are of another log
       return;
     }
     partial_result.era = era;
@@ -226,18 +229,20 @@
       return;
     }
     if (!next_key.empty()) {
-      read_page(topic, next_key, std::move(partial_result), std::move(on_result));
+      read_page(topic, next_key, std::move(partial_result), connection_choice::any,
+                std::move(on_result));
       return;
     }
     partial_result.status = read_status::ok;
     on_result(std::move(partial_result));
   };
-  send_request(std::move(request), call_timeout, on_answer);
+  send_request(std::move(request), call_timeout, choice, on_answer);
 }
 
 std::uint64_t store_client::read_from(const std::string& topic, std::uint64_t from_offset,
                                       core::duration wait,
-                                      std::function<void(read_result)> on_result) {
+                                      std::function<void(read_result)> on_result,
+                                      connection_choice choice) {
   core::http_request request;
   request.method = "GET";
   request.target = "/log-read?topic=" + topic + "&part=0&from=" + std::to_string(from_offset) +
@@ -261,7 +266,7 @@
     result.era = decode_era(exchange.answer);
     on_result(std::move(result));
   };
-  return send_request(std::move(request), wait + call_timeout, on_answer);
+  return send_request(std::move(request), wait + call_timeout, choice, on_answer);
 }
 
 void store_client::append(const std::string& topic, const std::string& key,
@@ -274,7 +279,7 @@
     request.target += "&at=" + std::to_string(*expected_end);
   }
   request.body = encode_record(key, value);
-  send_request(std::move(request), call_timeout,
+  send_request(std::move(request), call_timeout, connection_choice::any,
                [on_result = std::move(on_result)](const http::exchange_result& exchange) {
                  on_result(decode_append(exchange));
                });
--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -44,6 +44,7 @@
   std::uint64_t connections_opened = 0;
   std::map<std::uint64_t, std::shared_ptr<connection>> connections_by_exchange;
   std::map<tcp::endpoint, std::vector<std::shared_ptr<connection>>> idle; // most recently used last
+  std::map<tcp::endpoint, steady::time_point> answered_at; // time of the newest answer, by server
 };
 
 class client::connection : public std::enable_shared_from_this<client::connection> {
@@ -90,6 +91,12 @@
     }
     return options_.answer_timeout > core::duration::zero() && elapsed >= options_.answer_timeout;
   }
+  // Returns whether nothing has come from the server since the request was sent.
+  bool is_server_silent() const {
+    const std::shared_ptr<state> owner = owner_.lock();
+    return has_sent_ && owner && owner->answered_at[address_] < started_at_;
+  }
+  const tcp::endpoint& address() const { return address_; }
   bool is_idle_too_long() const { return idle_time() >= keep_alive_time_; }
 
   void close() {
@@ -223,6 +230,9 @@
 
   // `is_last`: no bytes were received after the answer.
   void on_answer(bool is_last) {
+    if (const std::shared_ptr<state> server = owner_.lock()) {
+      server->answered_at[address_] = steady::now();
+    }
     const bool is_persistent = reader_.keeps_connection();
     if (const std::optional<core::duration> time = reader_.keep_alive_time()) {
       keep_alive_time_ = std::min<core::duration>(max_keep_alive_time, *time - keep_alive_margin);
@@ -373,6 +383,9 @@
     }
   }
   for (const std::shared_ptr<connection>& item : overdue) {
+    if (item->is_server_silent()) {
+      close_idle(item->address()); // they may have gone silent as well
+    }
     item->fail(true);
   }
   for (auto& [address, items] : state_->idle) {
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -453,6 +453,35 @@
   cr_assert_eq(ends[2].answer.body, "last");
 }
 
+// Guards against waiting for silence again and again: open connections may go silent without a
+// reset while new ones work, and after one had timed out the others that were open were used in
+// turn.
+Test(client, a_timeout_at_a_silent_server_closes_its_idle_connections) {
+  server_fixture fixture;
+  client sender(fixture.loop);
+  std::vector<exchange_result> ends;
+  const auto store_result = [&](exchange_result end) { ends.push_back(std::move(end)); };
+  sender.send(fixture.address, get_request("/1"), {}, store_result);
+  sender.send(fixture.address, get_request("/2"), {}, store_result);
+  fixture.run_until([&] { return fixture.requests.size() == 2; });
+  for (const auto& [token, request] : fixture.requests) {
+    fixture.http_server.respond(token, fixture.response("yes"));
+  }
+  fixture.run_until([&] { return ends.size() == 2; });
+  cr_assert_eq(sender.connections_opened(), 2);
+  send_options options;
+  options.answer_timeout = std::chrono::milliseconds{20};
+  sender.send(fixture.address, get_request("/silent"), options, store_result);
+  while (ends.size() < 3) {
+    fixture.loop.run_for(std::chrono::milliseconds{5});
+    fixture.loop.restart();
+    sender.sweep({});
+  }
+  cr_assert(ends[2].is_timeout);
+  sender.send(fixture.address, get_request("/4"), options, store_result);
+  cr_assert_eq(sender.connections_opened(), 3);
+}
+
 Test(client, an_answer_after_one_to_a_head_request_keeps_its_body) {
   server_fixture fixture;
   tcp::acceptor acceptor(fixture.loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
--- a/src/arbutuslb/runtime/order_follower.cc
+++ b/src/arbutuslb/runtime/order_follower.cc
@@ -36,7 +36,7 @@
   if (is_enabled && !is_active_ && !is_stopped_) {
     has_newest_records_ ? read_new_records() : read_newest();
   }
-  if (!is_enabled && !reads_.empty()) {
+  if (!is_enabled && !reads_.empty() && !is_reading_newest_) {
     cancel_reads();
     is_active_ = false;
   }
@@ -61,7 +61,7 @@
 }
 
 void order_follower::restart() {
-  if (reads_.empty() || is_stopped_) {
+  if (reads_.empty() || is_reading_newest_ || is_stopped_) {
     return;
   }
   cancel_reads();
@@ -70,8 +70,22 @@
 
 void order_follower::read_newest() {
   is_active_ = true;
-  store_.read_newest(platform::operator_topic,
-                     [this](platform::read_result result) { on_newest(std::move(result)); });
+  is_reading_newest_ = true;
+  send_read_newest(platform::connection_choice::any);
+  schedule_hedge(hedge_delay);
+}
+
+void order_follower::send_read_newest(platform::connection_choice choice) {
+  const std::uint64_t key = ++last_read_key_;
+  reads_[key] = 0;
+  store_.read_newest(
+      platform::operator_topic,
+      [this, key](platform::read_result result) {
+        if (end_read(key, result)) {
+          on_newest(std::move(result));
+        }
+      },
+      choice);
 }
 
 void order_follower::read_new_records() {
@@ -83,16 +97,21 @@
   // The first answer, and that after a failure, must not wait for a record: it tells whether the
   // store answers, and whether a new era has begun.
   const core::duration wait = is_confirmed_ && is_reachable_ ? poll_wait_ : core::duration{};
-  send_read(wait);
+  is_reading_newest_ = false;
+  send_read(wait, platform::connection_choice::any);
   schedule_hedge(wait + hedge_delay);
 }
 
-void order_follower::send_read(core::duration wait) {
+void order_follower::send_read(core::duration wait, platform::connection_choice choice) {
   const std::uint64_t key = ++last_read_key_;
-  reads_[key] = store_.read_from(platform::operator_topic, next_.offset, wait,
-                                 [this, key, from = next_](platform::read_result result) {
-                                   on_read(key, from, std::move(result));
-                                 });
+  reads_[key] = store_.read_from(
+      platform::operator_topic, next_.offset, wait,
+      [this, key, from = next_](platform::read_result result) {
+        if (end_read(key, result)) {
+          on_new_records(from, std::move(result));
+        }
+      },
+      choice);
 }
 
 void order_follower::schedule_hedge(core::duration delay) {
@@ -102,21 +121,23 @@
       return;
     }
     if (reads_.size() < max_pending_reads) {
-      send_read(core::duration::zero());
+      is_reading_newest_ ? send_read_newest(platform::connection_choice::new_one)
+                         : send_read(core::duration::zero(), platform::connection_choice::new_one);
     }
     schedule_hedge(hedge_delay);
   });
 }
 
-void order_follower::on_read(std::uint64_t key, const core::gateway::log_position& from,
-                             platform::read_result result) {
-  reads_.erase(key);
+bool order_follower::end_read(std::uint64_t key, const platform::read_result& result) {
+  if (reads_.erase(key) == 0) {
+    return false;
+  }
   if (result.status == platform::read_status::failed && !reads_.empty()) {
     report_unreachable(result.reason);
-    return; // another read may still be answered
+    return false;
   }
   cancel_reads();
-  on_new_records(from, std::move(result));
+  return true;
 }
 
 bool order_follower::check(platform::read_result& result) {
--- a/src/arbutuslb/runtime/order_follower.h
+++ b/src/arbutuslb/runtime/order_follower.h
@@ -3,8 +3,9 @@
 // and jitter. In a new era of the store, the newest records are read again.
 //
 // A read that the store leaves unanswered does not delay the next one: beside it, reads that do not
-// wait are sent, and the first answer counts. So a store that was silent is read again within the
-// time of a poll and `hedge_delay` of its return.
+// wait are sent on new connections, and the first answer counts. So a store that was silent is read
+// again within the time of a poll and `hedge_delay` of its return, and one to which the open
+// connections have gone silent is read on others.
 #pragma once
 
 #include "arbutuslb/core/base/random.h"
@@ -43,14 +44,16 @@
 private:
   void read_newest();
   void read_new_records();
-  // Sends a read of the log beside those that are pending.
-  void send_read(core::duration wait);
+  // Sends a read of the log, or of the newest records, beside those that are pending.
+  void send_read(core::duration wait, platform::connection_choice choice);
+  void send_read_newest(platform::connection_choice choice);
+  // Takes note that a read was answered, and cancels the others. Returns false if it does not
+  // count: it was cancelled, or it has failed and another one may still be answered.
+  bool end_read(std::uint64_t key, const platform::read_result& result);
   void cancel_reads();
   void schedule_hedge(core::duration delay);
   void on_newest(platform::read_result result);
-  // `key` identifies the read, `from` is the position that was read from.
-  void on_read(std::uint64_t key, const core::gateway::log_position& from,
-               platform::read_result result);
+  // `from` is the position that was read from.
   void on_new_records(const core::gateway::log_position& from, platform::read_result result);
   // Returns false if the read has failed; another one is scheduled then.
   bool check(platform::read_result& result);
@@ -68,7 +71,8 @@
   asio::steady_timer timer_;
   asio::steady_timer hedge_timer_;
   std::map<std::uint64_t, std::uint64_t>
-      reads_; // request ids of the pending reads of the log, by key
+      reads_; // request ids of the pending reads, by key; zero if it cannot be cancelled
+  bool is_reading_newest_ = false; // `reads_` are of the newest records
   std::uint64_t last_read_key_ = 0;
   core::duration poll_wait_{};
   bool is_confirmed_ = false;        // the store has answered since it is followed
--- a/src/arbutuslb/runtime/order_follower_test.cc
+++ b/src/arbutuslb/runtime/order_follower_test.cc
@@ -159,3 +159,36 @@
   fixture.append("config", "2");
   cr_assert(fixture.run_until([&] { return fixture.has("config", "2"); }, max_turns));
 }
+
+// Guards against a change that is late although the store answers again (CONFIG): reads beside an
+// unanswered one went out on connections that had been opened before, and had gone silent with it.
+Test(order_follower, a_read_beside_an_unanswered_one_uses_a_new_connection) {
+  constexpr int max_turns = 250;
+  follower_fixture fixture;
+  for (const char* key : {"one", "two", "three"}) { // each leaves an idle connection
+    fixture.client.append(platform::operator_topic, key, "1", std::nullopt,
+                          [](const platform::append_result&) {});
+  }
+  fixture.follower.set_following(true, poll_wait);
+  cr_assert(fixture.run_until([&] { return fixture.values.size() == 3; }));
+  fixture.store.faults().is_silent = true;
+  fixture.follower.restart();
+  const std::uint64_t calls = fixture.store.calls();
+  const std::uint64_t opened = fixture.connections.connections_opened();
+  cr_assert(fixture.run_until([&] { return fixture.store.calls() >= calls + 2; }, max_turns));
+  cr_assert_gt(fixture.connections.connections_opened(), opened);
+}
+
+// Guards against a change that is late although the store answers again (CONFIG): the newest
+// records were asked for in the last moments of a silence.
+Test(order_follower, newest_records_asked_for_at_the_end_of_a_silence_are_asked_for_again) {
+  constexpr int max_turns = 100;
+  follower_fixture fixture;
+  fixture.append("config", "1");
+  fixture.store.faults().is_silent = true;
+  const std::uint64_t calls = fixture.store.calls();
+  fixture.follower.start();
+  cr_assert(fixture.run_until([&] { return fixture.store.calls() > calls; }));
+  fixture.store.faults().is_silent = false;
+  cr_assert(fixture.run_until([&] { return fixture.has("config", "1"); }, max_turns));
+}
