--- a/src/arbutuslb/runtime/wire/codec_test.cc
+++ b/src/arbutuslb/runtime/wire/codec_test.cc
@@ -1,4 +1,5 @@
 #include "arbutuslb/runtime/wire/codec.h"
+#include "arbutuslb/runtime/wire/gateway_codec.h"
 
 #include <criterion/criterion.h>
 
@@ -98,3 +99,15 @@
   value.sender.status = static_cast<core::membership::member_status>(9);
   cr_assert(is_rejected(encode(value), protocol::max_stream_message_bytes));
 }
+
+// Guards against answers that are never sent: a report that named an odd host made each later
+// report to it fail, and with it the rest of the event in which it was due.
+Test(gateway_codec, a_report_with_an_odd_host_is_malformed) {
+  for (const char* host : {"no-address", "10.0.0.999", "::1", "10.0.0.1 "}) {
+    core::gateway::report_bundle bundle;
+    bundle.reports.emplace_back();
+    bundle.reports.back().content.host = host;
+    bundle.reports.back().age = core::duration{1}; // a direct report bears no host
+    cr_assert_throw(decode_reports(encode(bundle), "10.0.0.1"), codec_error);
+  }
+}
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -4,6 +4,7 @@
 #include "arbutuslb/runtime/wire/gateway.pb.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <cmath>
 
 namespace arbutuslb::runtime::wire {
@@ -243,6 +244,10 @@
 gateway::peer_report report_from_proto(const GatewayReport& in, const std::string& host) {
   gateway::peer_report value;
   value.host = in.host().empty() ? host : in.host();
+  in_addr address{};
+  if (inet_pton(AF_INET, value.host.c_str(), &address) != 1) {
+    throw codec_error("the host of a report is not an IPv4 address");
+  }
   value.capacity_weight = static_cast<int>(in.strength());
   value.is_store_reachable = in.has_store();
   value.name = in.name();
