--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -119,6 +119,24 @@
   cr_assert(is_refused(one.run("i-before")));
 }
 
+// Guards against requests at a version that was rolled back, and at an upstream that they were not
+// meant for: those that waited when it changed were sent.
+Test(gate, a_request_that_waits_is_refused_when_its_upstream_is_replaced) {
+  tested_daemon one;
+  for (int i = 0; i < heartbeat().slots; ++i) {
+    cr_assert_neq(find<gateway::send_to_upstream>(one.run()), nullptr);
+  }
+  cr_assert_eq(find<gateway::send_to_upstream>(one.run()), nullptr); // waits
+  gateway::heartbeat next = heartbeat();
+  next.instance_id = "i-2";
+  next.started_ms += 1;
+  next.slots = 20;
+  const std::vector<gateway::action> actions =
+      one.core.handle(gateway::heartbeat_received{2, next}, start);
+  cr_assert_eq(find<gateway::send_to_upstream>(actions), nullptr, "sent to another instance");
+  cr_assert(is_refused(actions));
+}
+
 Test(gate, refuses_requests_without_a_configuration) {
   tested_daemon one(false);
   cr_assert(is_refused(one.run()));
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -180,13 +180,17 @@
   if (!shared_.registry.is_usable(shared_.now)) {
     return "upstream is not ready";
   }
+  if (shared_.operator_records.is_withdrawn(shared_.settings.domain)) {
+    return "failure domain is withdrawn";
+  }
+  return mismatch_reason(request);
+}
+
+std::string upstream_gate::mismatch_reason(const run_request& request) const {
   const registered_upstream& upstream = *shared_.registry.upstream();
   if (upstream.instance_id != request.instance_id) {
     return "request is for another upstream instance";
   }
-  if (shared_.operator_records.is_withdrawn(shared_.settings.domain)) {
-    return "failure domain is withdrawn";
-  }
   const rollout_conductor::rollout* rollout = rollouts_.find(upstream.service);
   if (rollout != nullptr && rollout->phase == rollout_phase::rolled_back &&
       upstream.version == rollout->order.target_version) {
@@ -266,9 +270,11 @@
   }
   execution& value = executions_.at(token);
   const crash_verdict verdict = shared_.containment.judge(value.suspicion);
-  if (verdict == crash_verdict::refuse) {
+  const std::string mismatch = mismatch_reason(value.request);
+  if (verdict == crash_verdict::refuse || !mismatch.empty()) {
     queue_.release(std::nullopt);
-    withdraw(token, poison_reason, poison_retry_after);
+    withdraw(token, mismatch.empty() ? poison_reason : mismatch,
+             mismatch.empty() ? duration{poison_retry_after} : duration::zero());
     return;
   }
   if (verdict == crash_verdict::isolate) {
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -84,6 +84,9 @@
   void accept(bool is_local, std::uint64_t reply_token, run_request request);
   // Returns why the request cannot be accepted; empty if it can.
   std::string refusal_reason(const run_request& request) const;
+  // Returns why the upstream must not execute the request; empty if it may. May change while the
+  // request waits.
+  std::string mismatch_reason(const run_request& request) const;
   time_point latest_start(const run_request& request) const;
   void start(std::uint64_t token);
   void start_queued();
