Soak of planned work: no request that an upstream executes may stay without an answer

Only stops, reloads and changes of the configuration are played, in series and overlapping; a tenth of the executions take 3.4 s of a grace period of 6 s; callers keep their connections and leave a stopping daemon after 2 s.

--- a/src/arbutuslb/soak/ledger.cc
+++ b/src/arbutuslb/soak/ledger.cc
@@ -69,4 +69,9 @@
   attempts_.at(id).is_refused = false;
 }
 
+bool ledger::was_executed(const std::string& id) const {
+  const auto found = attempts_.find(id);
+  return found != attempts_.end() && found->second.executions > 0;
+}
+
 } // namespace arbutuslb::soak
--- a/src/arbutuslb/soak/ledger.h
+++ b/src/arbutuslb/soak/ledger.h
@@ -35,6 +35,7 @@
   void on_execution(const std::string& id);
   void on_answer(const std::string& id, const core::http_response& answer);
   void on_no_answer(const std::string& id);
+  bool was_executed(const std::string& id) const;
 
   const ledger_totals& totals() const noexcept { return totals_; }
 
--- a/src/arbutuslb/soak/site.h
+++ b/src/arbutuslb/soak/site.h
@@ -54,6 +54,7 @@
   bool is_exit_expected = false;
   bool is_unavailable = false;        // suspended or ended by the soak and not running again yet
   core::time_point disturbed_until{}; // end of the last fault at this instance
+  core::time_point stopping_since{};  // of the newest planned stop
   // Highest configuration version seen by callers of this process.
   std::uint64_t highest_served_version = 0;
 };
--- a/src/arbutuslb/soak/soak.cc
+++ b/src/arbutuslb/soak/soak.cc
@@ -31,6 +31,11 @@
 constexpr std::chrono::milliseconds startup_time{3000};
 constexpr std::chrono::milliseconds call_period{25}; // of each daemon's caller
 constexpr std::chrono::milliseconds call_timeout{2000};
+// With planned work only: time limit of callers and routes, the share of slow executions, and how
+// long callers use a daemon that stops.
+constexpr std::chrono::milliseconds planned_call_timeout{8000};
+constexpr double slow_ratio = 0.1;
+constexpr std::chrono::milliseconds stop_notice_time{2000};
 constexpr std::chrono::milliseconds mean_fault_interval{350};
 constexpr std::chrono::milliseconds max_fault_time{2500};
 constexpr std::chrono::milliseconds publish_period{1500};
@@ -157,10 +162,12 @@
       every(call_period, [this, i] { call(*sites_[i], random_.fraction() < 0.5); });
     }
     every(publish_period, [this] { publish(); });
-    every(departure_period, [this] {
-      upstreams_[random_.below(upstreams_.size())]->depart(random_.fraction() < 0.3);
-    });
-    every(crash_period, [this] { call_crashing(); });
+    if (!options_.is_planned) {
+      every(departure_period, [this] {
+        upstreams_[random_.below(upstreams_.size())]->depart(random_.fraction() < 0.3);
+      });
+      every(crash_period, [this] { call_crashing(); });
+    }
     schedule_fault();
     after(options_.fault_time, [this] { stop_faults(); });
   }
@@ -192,22 +199,42 @@
   // --- callers ---
 
   void call(site& instance, bool is_unsafe) {
+    if (options_.is_planned && instance.is_unavailable &&
+        clock_.now() - instance.stopping_since > stop_notice_time) {
+      return;
+    }
+    const bool is_slow = options_.is_planned && random_.fraction() < slow_ratio;
     const std::string id = "a-" + std::to_string(++last_call_);
     core::http_request request;
     request.method = is_unsafe ? "POST" : "GET";
-    request.target = is_unsafe ? "/orders/1" : "/menu/1";
+    request.target = (is_unsafe ? std::string("/orders") : std::string("/menu")) +
+                     (is_slow ? slow_suffix : "/1");
     request.body = is_unsafe ? "order " + id : "";
     ledger_.on_sent(id, is_unsafe, request.body);
     const bool is_final = is_final_check_;
     final_sent_ += is_final ? 1 : 0;
-    send(instance, std::move(request), id, [this, id, is_final](const http::exchange_result& end) {
+    const auto on_end = [this, id, is_final, is_slow](const http::exchange_result& end) {
       if (end.outcome == http::exchange_outcome::answered) {
         ledger_.on_answer(id, end.answer);
         final_successful_ += is_final && end.answer.status == status_ok ? 1 : 0;
       } else {
         ledger_.on_no_answer(id);
       }
-    });
+      check_planned(id, end, is_slow);
+    };
+    send(instance, std::move(request), id, on_end);
+  }
+
+  void check_planned(const std::string& id, const http::exchange_result& end, bool is_slow) {
+    if (!options_.is_planned || !ledger_.was_executed(id)) {
+      return;
+    }
+    if (end.outcome != http::exchange_outcome::answered) {
+      report("a request that was executed got no answer", id);
+    } else if (end.answer.status != status_ok && !is_slow) {
+      report("a request that was executed was answered with " + std::to_string(end.answer.status),
+             id);
+    }
   }
 
   // Sends the same crashing request to some daemon.
@@ -249,12 +276,16 @@
             http::client::completion_handler on_end) {
     request.headers = {{"Host", host_name},
                        {"X-Attempt-Identifier", id},
-                       {"X-Deadline-Remaining", std::to_string(call_timeout.count())}};
+                       {"X-Deadline-Remaining", std::to_string(caller_time().count())}};
     http::send_options send_options;
-    send_options.answer_timeout = call_timeout + 500ms;
+    send_options.answer_timeout = caller_time() + 500ms;
     client_.send(instance.callers(), request, send_options, std::move(on_end));
   }
 
+  std::chrono::milliseconds caller_time() const {
+    return options_.is_planned ? planned_call_timeout : call_timeout;
+  }
+
   // --- operators ---
 
   // Publishes a version with a route that only this version has, and sends a request to that route
@@ -290,9 +321,13 @@
     return "/v" + std::to_string(version) + "/";
   }
 
-  static json route(const std::string& prefix, const char* kind, const char* service) {
-    return {{"host", host_name},   {"pathPrefix", prefix},     {"kind", kind},
-            {"timeout", "1500ms"}, {"targetLatency", "300ms"}, {"service", service},
+  json route(const std::string& prefix, const char* kind, const char* service) const {
+    return {{"host", host_name},
+            {"pathPrefix", prefix},
+            {"kind", kind},
+            {"timeout", options_.is_planned ? "8s" : "1500ms"},
+            {"targetLatency", "300ms"},
+            {"service", service},
             {"attempts", 2}};
   }
 
@@ -334,7 +369,10 @@
   void schedule_fault() {
     after(random_.jitter(mean_fault_interval * 2), [this] {
       if (!is_recovering_) {
-        inject(static_cast<fault_kind>(random_.below(static_cast<std::size_t>(fault_kind::count))));
+        inject(options_.is_planned
+                   ? (random_.fraction() < 0.7 ? fault_kind::terminate : fault_kind::reload)
+                   : static_cast<fault_kind>(
+                         random_.below(static_cast<std::size_t>(fault_kind::count))));
         schedule_fault();
       }
     });
@@ -399,6 +437,7 @@
   void stop_daemon(site& instance, int number) {
     instance.is_unavailable = true;
     instance.is_exit_expected = true;
+    instance.stopping_since = clock_.now();
     instance.daemon->signal(number);
     await_exit(instance, clock_.now(), random_.jitter(1500ms));
   }
--- a/src/arbutuslb/soak/soak.h
+++ b/src/arbutuslb/soak/soak.h
@@ -17,6 +17,10 @@
   std::size_t instances = 8;
   // Also checks the promised time bounds. Disable it on machines of unknown speed.
   bool checks_times = true;
+  // Only planned work: stops and reloads, changes of the configuration, and some executions that
+  // take more than half of the grace period. Then no request that an upstream executes may stay
+  // without an answer, and none of the short ones may be answered as unknown.
+  bool is_planned = false;
 };
 
 // Prints a line for each broken promise and a line with the result. Returns the number of broken
--- a/src/arbutuslb/soak/upstream_stand_in.cc
+++ b/src/arbutuslb/soak/upstream_stand_in.cc
@@ -177,7 +177,9 @@
     return;
   }
   after(
-      min_execution_time + random_.jitter(execution_time_spread),
+      request.target.ends_with(slow_suffix)
+          ? slow_execution_time
+          : min_execution_time + random_.jitter(execution_time_spread),
       [this, token, attempt_id, body = request.body] { answer_request(token, attempt_id, body); });
 }
 
--- a/src/arbutuslb/soak/upstream_stand_in.h
+++ b/src/arbutuslb/soak/upstream_stand_in.h
@@ -18,6 +18,9 @@
 
 // A request with this target crashes the upstream that executes it.
 inline constexpr const char* crashing_target = "/menu/crash";
+// A request whose target ends so takes `slow_execution_time`, more than half of a grace period.
+inline constexpr const char* slow_suffix = "/slow";
+inline constexpr std::chrono::milliseconds slow_execution_time{3400};
 
 // Returns the signature of the answer to an attempt. Callers check it.
 std::string signature_of(const std::string& attempt_id);
