--- a/src/arbutuslb/core/moves/evidence.cc
+++ b/src/arbutuslb/core/moves/evidence.cc
@@ -163,11 +163,13 @@
 }
 
 std::map<std::string, cell_totals> evidence_pool::recent_totals(const std::string& version) const {
+  return checkpoints_.empty() ? totals(version, 0) : totals_since_checkpoint(version, 0);
+}
+
+std::map<std::string, cell_totals>
+evidence_pool::totals_since_checkpoint(const std::string& version, std::size_t index) const {
   totals_by_route recent = totals(version, 0);
-  if (checkpoints_.empty()) {
-    return recent;
-  }
-  const std::map<std::string, totals_by_route>& earlier = checkpoints_.front().by_version;
+  const std::map<std::string, totals_by_route>& earlier = checkpoints_.at(index).by_version;
   const std::map<std::string, totals_by_route>::const_iterator found = earlier.find(version);
   if (found == earlier.end()) {
     return recent;
--- a/src/arbutuslb/core/moves/evidence.h
+++ b/src/arbutuslb/core/moves/evidence.h
@@ -92,6 +92,11 @@
   // Returns the totals since the oldest checkpoint within `recent_window`, or all totals if there
   // is no checkpoint.
   std::map<std::string, cell_totals> recent_totals(const std::string& version) const;
+  // Returns the number of checkpoints within `recent_window`, and the totals since one of them; 0
+  // is the oldest.
+  std::size_t checkpoint_count() const noexcept { return checkpoints_.size(); }
+  std::map<std::string, cell_totals> totals_since_checkpoint(const std::string& version,
+                                                             std::size_t index) const;
 
 private:
   struct source {
--- a/src/arbutuslb/core/moves/fault.cc
+++ b/src/arbutuslb/core/moves/fault.cc
@@ -61,6 +61,20 @@
   return new_rate - old_rate - std::hypot(below, above);
 }
 
+// Returns whether the new version fails more often, by a test that suits few calls.
+bool has_more_errors(const comparison& compared) {
+  return compared.new_totals.errors >= min_errors_on_few_calls &&
+         compared.old_totals.calls >= min_route_calls &&
+         lowest_error_increase(compared) > compared.tested_move.limits.max_error_increase;
+}
+
+std::string describe_errors(const comparison& compared) {
+  return "errors on route " + compared.route + ": " +
+         percent(compared.new_totals.errors, compared.new_totals.calls) + " of " +
+         std::to_string(compared.new_totals.calls) + " calls, against " +
+         percent(compared.old_totals.errors, compared.old_totals.calls) + " on the old version";
+}
+
 std::string error_fault(const comparison& compared) {
   if (compared.new_totals.errors < min_errors) {
     return {};
@@ -74,16 +88,7 @@
   const double allowed = compared.old_totals.calls == 0 ? 0.5 : old_interval.high;
   const double increase = compared.tested_move.limits.max_error_increase;
   const bool is_apart = new_interval.low > std::min(0.9, allowed + increase);
-  const bool is_increased = compared.new_totals.errors >= min_errors_on_few_calls &&
-                            compared.old_totals.calls >= min_route_calls &&
-                            lowest_error_increase(compared) > increase;
-  if (!is_apart && !is_increased) {
-    return {};
-  }
-  return "errors on route " + compared.route + ": " +
-         percent(compared.new_totals.errors, compared.new_totals.calls) + " of " +
-         std::to_string(compared.new_totals.calls) + " calls, against " +
-         percent(compared.old_totals.errors, compared.old_totals.calls) + " on the old version";
+  return is_apart || has_more_errors(compared) ? describe_errors(compared) : std::string{};
 }
 
 // Mean and variance of the natural logarithm of the latency, computed from the histogram.
@@ -222,6 +227,25 @@
   return baseline;
 }
 
+// Compares the errors over every window that ends now and begins at a checkpoint, on the routes
+// that the old version has executed calls of within it.
+std::string recent_error_fault(const move& value, const evidence_pool& pool) {
+  for (std::size_t i = 0; i < pool.checkpoint_count(); ++i) {
+    const totals_by_route old_totals = pool.totals_since_checkpoint(value.from, i);
+    for (const auto& [route, cell] : pool.totals_since_checkpoint(value.to, i)) {
+      const totals_by_route::const_iterator found = old_totals.find(route);
+      if (found == old_totals.end()) {
+        continue;
+      }
+      const comparison compared{value, route, found->second, cell};
+      if (has_more_errors(compared)) {
+        return describe_errors(compared);
+      }
+    }
+  }
+  return {};
+}
+
 std::uint64_t deaths_of(const evidence_pool& pool, const std::string& version) {
   std::uint64_t deaths = 0;
   for (const auto& [route, cell] : pool.totals(version, 0)) {
@@ -272,8 +296,11 @@
       return fault;
     }
   }
-  const std::string fault =
+  std::string fault =
       fault_between(value, recent_baseline(value, pool), pool.recent_totals(value.to));
+  if (fault.empty()) {
+    fault = recent_error_fault(value, pool);
+  }
   return fault.empty() ? death_fault(value, pool, poison_requests) : fault;
 }
 
--- a/src/arbutuslb/core/moves/fault.h
+++ b/src/arbutuslb/core/moves/fault.h
@@ -11,7 +11,8 @@
 // Returns a description of a fault of the new version, or an empty string: more errors, late or
 // slow calls than the old version has on some route, or deaths of upstreams beyond those that
 // `poison_requests` requests explain. The calls at the current share, those of the whole move and
-// those of the recent window are compared.
+// those of the recent window are compared; errors also over every shorter window that ends now, so
+// that a fault which the old version had as well for a while does not hide one that lasts.
 std::string find_fault(const config::move& value, const evidence_pool& pool,
                        std::size_t poison_requests);
 
--- a/src/arbutuslb/core/moves/judge_test.cc
+++ b/src/arbutuslb/core/moves/judge_test.cc
@@ -125,6 +125,34 @@
   cr_assert_eq(judge_move(menu_move(900), pool, 0, start, later).kind, judgement_kind::brake);
 }
 
+// Guards against a bad version that is completed (EXPOSURE): for a while the old version failed as
+// often as the new one, for a cause of its own, and its errors hid those of the new one for as long
+// as they were in the window of recent calls.
+Test(judge, errors_are_found_soon_after_the_old_version_has_recovered) {
+  evidence_pool pool;
+  std::uint64_t old_calls = 0;
+  std::uint64_t old_errors = 0;
+  std::uint64_t new_calls = 0;
+  std::uint64_t new_errors = 0;
+  time_point now = start;
+  const auto play_second = [&](std::uint64_t old_errors_in_it, std::uint64_t new_errors_in_it) {
+    pool.add_checkpoint(now);
+    now += std::chrono::seconds{1};
+    old_calls += 80;
+    old_errors += old_errors_in_it;
+    new_calls += 20;
+    new_errors += new_errors_in_it;
+    pool.merge({1}, {1}, report_of("v1", 150, old_calls, old_errors, 4));
+    pool.merge({2}, {1}, report_of("v2", 150, new_calls, new_errors, 4));
+    return judge_move(menu_move(150), pool, 0, start, now).kind;
+  };
+  for (int i = 0; i < 8; ++i) { // both fail
+    cr_assert_neq(play_second(40, 11), judgement_kind::brake);
+  }
+  play_second(0, 8);
+  cr_assert_eq(play_second(1, 8), judgement_kind::brake);
+}
+
 namespace {
 
 // Ten minutes' worth of ordinary traffic on one route and a route with one call a minute.
