--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -534,8 +534,8 @@
   cr_assert_eq(report.service, "menu");
 }
 
-// Guards against requests that bear another service's name (UNASKED): a heartbeat of another writer that
-// arrived before the first configuration was checked against nothing and stayed.
+// Guards against requests that bear another service's name (UNASKED): a heartbeat of another writer
+// that arrived before the first configuration was checked against nothing and stayed.
 Test(gateway, a_heartbeat_of_another_writer_before_the_first_configuration_is_not_taken) {
   mesh_fixture fixture;
   fixture.fleet.is_store_down = true;
--- a/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
@@ -36,9 +36,8 @@
   const std::shared_ptr<const mesh_configuration>& configuration =
       shared_.operator_records.configuration();
   // The settings name the service of the upstream that this daemon was started for.
-  const bool has_service =
-      value.content.service == shared_.settings.service ||
-      (configuration && configuration->find_service(value.content.service));
+  const bool has_service = value.content.service == shared_.settings.service ||
+                           (configuration && configuration->find_service(value.content.service));
   const heartbeat_verdict verdict = has_service
                                         ? shared_.registry.on_heartbeat(value.content, shared_.now)
                                         : heartbeat_verdict::unknown_service;
--- a/src/arbutuslb/runtime/operator_records_test.cc
+++ b/src/arbutuslb/runtime/operator_records_test.cc
@@ -62,8 +62,8 @@
 
 } // namespace
 
-// Guards against a lost withdrawal (EVAC): a read that was cut at its largest size counted as one to the
-// end of the log, and the daemons that fetched from its reader never asked for the rest.
+// Guards against a lost withdrawal (EVAC): a read that was cut at its largest size counted as one
+// to the end of the log, and the daemons that fetched from its reader never asked for the rest.
 Test(operator_records, a_read_that_is_cut_loses_nothing_on_the_daemons_that_fetch) {
   relay_fixture fixture;
   fixture.append("idle", "first");
