A request at a silent peer is sent again only while an execution fits into its time

Cause: left out the check of the time that is left for requests at peers without contact; is_retry_allowed had made it before. Change: the time left must be longer than the mean latency of the service, as for every retry.

--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -492,13 +492,14 @@
   const duration overdue_after =
       std::max<duration>(pending.route->target_latency, mean * overdue_latency_multiple);
   const duration elapsed = shared_.now - pending.current.sent_at;
-  if (elapsed >= overdue_after && pending.deadline - shared_.now >= 2 * mean) {
+  const duration left = pending.deadline - shared_.now;
+  if (elapsed >= overdue_after && left >= 2 * mean) {
     return true;
   }
   const auto peer = shared_.directory.peers().find(pending.current.host);
   const bool is_unresponsive = peer == shared_.directory.peers().end() ||
                                shared_.now - peer->second.last_contact >= unresponsive_peer_timeout;
-  return is_unresponsive && has_peer_contact;
+  return is_unresponsive && has_peer_contact && left > mean;
 }
 
 void request_router::send_second_attempt(std::uint64_t attempt) {
