--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -97,13 +97,15 @@
                    handle(gateway::call_received{token, platform::decode_call(std::move(request))});
                  },
                  [this](std::uint64_t token) { handle(gateway::caller_disconnected{token}); },
-                 [this](const std::string& reason) { log_accept_failure("callers", reason); }}),
+                 [this](const std::string& reason) { log_accept_failure("callers", reason); },
+                 [this](const http::dropped_input& dropped) { log_dropped("callers", dropped); }}),
         peers(loop, values.peers,
               {[this](std::uint64_t token, const core::http_request& request) {
                  on_peer_request(token, request);
                },
                [this](std::uint64_t token) { handle(gateway::peer_disconnected{token}); },
-               [this](const std::string& reason) { log_accept_failure("peers", reason); }}),
+               [this](const std::string& reason) { log_accept_failure("peers", reason); },
+               [this](const http::dropped_input& dropped) { log_dropped("peers", dropped); }}),
         upstreams(loop, values.upstreams,
                   {[this](std::uint64_t token, const core::http_request& request) {
                      on_upstream_call(token, request);
@@ -139,6 +141,16 @@
                 {{"edge", edge}, {"reason", reason}});
   }
 
+  void log_dropped(const char* edge, const http::dropped_input& dropped) {
+    ++inputs_dropped;
+    write_event(core::engine::severity::info, "input_dropped",
+                {{"edge", edge},
+                 {"bytes", std::to_string(dropped.bytes)},
+                 {"begun", dropped.has_begun ? "true" : "false"},
+                 {"unanswered", std::to_string(dropped.unanswered)},
+                 {"ready", core.is_ready() ? "true" : "false"}});
+  }
+
   void handle(gateway::event value) {
     for (gateway::action& item : core.handle(std::move(value), clock.now())) {
       std::visit(action_executor{*this}, item);
@@ -558,7 +570,8 @@
   }
 
   std::string render_metrics() const {
-    return runtime::render_metrics(core.totals(), core.containment(), store.calls(), log.dropped());
+    return runtime::render_metrics(core.totals(), core.containment(), store.calls(), log.dropped(),
+                                   inputs_dropped);
   }
 
   gateway_host_settings settings;
@@ -584,6 +597,7 @@
   udp::socket reports;
   std::array<char, max_datagram_size> datagram{};
   std::map<std::uint64_t, std::pair<http::client*, std::uint64_t>> exchanges; // by attempt
+  std::uint64_t inputs_dropped = 0; // connections closed over input that was not passed on
   std::uint64_t configured_version = 0;
   core::time_point last_sweep_at{};
   // Set once all requests have been answered; the answers may still be being written.
--- a/src/arbutuslb/runtime/gateway_metrics.cc
+++ b/src/arbutuslb/runtime/gateway_metrics.cc
@@ -12,7 +12,8 @@
 
 std::string render_metrics(const core::gateway::gateway_statistics& totals,
                            const core::gateway::crash_containment& containment,
-                           std::uint64_t store_calls, std::uint64_t log_lines_dropped) {
+                           std::uint64_t store_calls, std::uint64_t log_lines_dropped,
+                           std::uint64_t inputs_dropped) {
   std::string out;
   write_counter(out, "calls_total", totals.calls);
   write_counter(out, "calls_answered_total", totals.answered);
@@ -35,6 +36,7 @@
   write_counter(out, "heartbeats_refused_total", totals.heartbeats_refused);
   write_counter(out, "store_calls_total", store_calls);
   write_counter(out, "log_lines_dropped_total", log_lines_dropped);
+  write_counter(out, "inputs_dropped_total", inputs_dropped);
   return out;
 }
 
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <span>
 
 namespace arbutuslb::runtime::http {
 namespace {
@@ -19,6 +20,7 @@
 constexpr int status_body_too_large = 413;
 constexpr int status_headers_too_large = 431;
 constexpr std::size_t read_buffer_size = std::size_t{32} * 1024;
+constexpr std::size_t small_read_buffer_size = std::size_t{16} * 1024;
 constexpr std::size_t max_reads_per_wakeup = 4;
 constexpr std::size_t reserved_tokens = 8;
 // An accept that has failed, usually for want of descriptors, is repeated after this time.
@@ -50,6 +52,9 @@
         handlers(std::move(callbacks)) {}
 
   void accept();
+  void add(tcp::socket socket);
+  // Accepts the connections that callers have already established.
+  void accept_established();
 
   asio::io_context& loop;
   tcp::acceptor acceptor;
@@ -57,6 +62,7 @@
   server_handlers handlers;
   server_options options;
   bool closes_after_answers = false;
+  bool is_stopped = false; // by `stop_reading`
   std::uint64_t last_token = reserved_tokens;
   std::set<std::shared_ptr<connection>> connections;
   std::map<std::uint64_t, std::shared_ptr<connection>> connections_by_token;
@@ -114,18 +120,21 @@
     }
   }
 
-  // Closes the connection at once, or after the answers to the requests that were already read.
+  // Takes what has been received. Then closes the connection, at once or after the last answer.
   void stop_reading() {
-    closes_after_slots_ = true;
-    if (!slots_.empty()) {
-      slots_.back().closes_connection = true;
-    } else if (is_writing_) {
-      closes_after_write_ = true;
-    } else if (!is_lingering_) {
+    receive_now();
+    is_stopped_ = true;
+    if (!is_closed_ && !is_lingering_ && !is_refusing_ && !is_writing_ && !is_owed()) {
       close();
     }
   }
 
+  // Returns true if a request is being read, or has been read and is not passed on yet.
+  bool has_input() const {
+    return !closes_after_slots_ && !is_refusing_ && !is_lingering_ &&
+           (reader_.has_begun() || !pending_input_.empty());
+  }
+
   bool has_unsent_answers() const { return is_writing_ || is_lingering_ || !output_.empty(); }
   bool is_idle() const { return slots_.empty() && !is_writing_ && !reader_.has_begun(); }
 
@@ -142,12 +151,12 @@
       return;
     }
     const std::shared_ptr<connection> self = shared_from_this();
-    for (const answer_slot& slot : slots_) {
+    report_dropped_input(*owner);
+    for (const answer_slot& slot : std::exchange(slots_, {})) {
       if (owner->connections_by_token.erase(slot.token) > 0) {
         owner->handlers.on_disconnected(slot.token);
       }
     }
-    slots_.clear();
     owner->connections.erase(self);
   }
 
@@ -167,6 +176,7 @@
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
       self->is_waiting_ = false;
       if (error) {
+        self->has_caller_left_ = true;
         self->close();
       } else {
         self->read();
@@ -174,34 +184,51 @@
     });
   }
 
+  // Returns true if an answer is owed, or a request is being read.
+  bool is_owed() const { return !slots_.empty() || has_input(); }
+
   void read() {
+    receive(read_buffer);
+    if (pending_input_.size() < read_buffer_size) {
+      wait_for_bytes();
+    }
+  }
+
+  // Takes what the socket has received, as far as there is room. May be called while another
+  // connection parses the shared buffer.
+  void receive_now() {
+    std::array<char, small_read_buffer_size> buffer;
+    receive(buffer);
+  }
+
+  void receive(std::span<char> buffer) {
     for (std::size_t i = 0; i < max_reads_per_wakeup && !is_closed_; ++i) {
+      if (pending_input_.size() >= read_buffer_size) {
+        return;
+      }
       std::error_code error;
-      const std::size_t size = socket_.read_some(asio::buffer(read_buffer), error);
+      const std::size_t size = socket_.read_some(asio::buffer(buffer.data(), buffer.size()), error);
       if (error == asio::error::would_block) {
-        break;
+        return;
       }
       if (error) {
+        has_caller_left_ = true;
         close();
         return;
       }
       has_activity_ = true;
-      if (is_refusing_ || is_lingering_) {
-        continue; // bytes after the last request to be answered are dropped
-      }
-      if (pending_input_.empty()) {
-        parse(std::string_view(read_buffer.data(), size));
+      if (is_refusing_ || is_lingering_ || closes_after_slots_ || (is_stopped_ && !has_input())) {
+        dropped_bytes_ += size; // behind the last request to be answered
+      } else if (pending_input_.empty()) {
+        parse(std::string_view(buffer.data(), size));
       } else {
-        pending_input_.append(read_buffer.data(), size);
+        pending_input_.append(buffer.data(), size);
         parse_pending_input();
       }
-      if (size < read_buffer.size()) {
-        break;
+      if (size < buffer.size()) {
+        return;
       }
     }
-    if (pending_input_.size() < read_buffer_size) {
-      wait_for_bytes();
-    }
   }
 
   void parse_pending_input() {
@@ -210,14 +237,27 @@
   }
 
   void parse(std::string_view bytes) {
+    // An answer must not close the connection over requests that follow in `bytes`.
+    is_parsing_ = true;
+    take_requests(bytes);
+    is_parsing_ = false;
+    flush();
+  }
+
+  void take_requests(std::string_view bytes) {
     const std::shared_ptr<state> owner = owner_.lock();
     while (owner && !bytes.empty() && !is_closed_ && !is_refusing_) {
-      if (slots_.size() >= owner->options.max_pipelined || closes_after_slots_) {
+      if (closes_after_slots_) {
+        dropped_bytes_ += bytes.size();
+        return;
+      }
+      if (slots_.size() >= owner->options.max_pipelined) {
         pending_input_.append(bytes);
         return;
       }
       bytes.remove_prefix(reader_.consume(bytes));
       if (reader_.state() == read_state::failed) {
+        dropped_bytes_ += bytes.size();
         refuse(status_of(reader_.fault()));
         return;
       }
@@ -235,7 +275,7 @@
     is_next_request_ = true;
     answer_slot slot;
     slot.token = ++owner.last_token;
-    slot.closes_connection = !reader_.keeps_connection() || owner.closes_after_answers;
+    slot.closes_connection = !reader_.keeps_connection();
     closes_after_slots_ = slot.closes_connection;
     const std::uint64_t token = slot.token;
     slots_.push_back(std::move(slot));
@@ -260,21 +300,31 @@
     write();
   }
 
+  // Writes the answers that are ready. In a planned stop, the connection is closed only after an
+  // answer behind which nothing has been received.
   void flush() {
+    if (is_parsing_ || is_flushing_) {
+      return; // continues where it was called
+    }
+    is_flushing_ = true;
     const std::shared_ptr<state> owner = owner_.lock();
     while (!slots_.empty() && slots_.front().is_ready && !closes_after_write_) {
-      answer_slot& slot = slots_.front();
-      // In a planned stop, the connection is closed only after the last pending answer.
-      const bool is_last = slots_.size() == 1;
-      slot.closes_connection =
-          slot.closes_connection || (is_last && owner && owner->closes_after_answers);
-      output_ += serialize(slot.answer, slot.closes_connection);
-      closes_after_write_ = slot.closes_connection;
+      const bool is_stopping = is_stopped_ || (owner && owner->closes_after_answers);
+      if (is_stopping && !is_stopped_ && slots_.size() == 1) {
+        receive_now();
+        if (is_closed_) {
+          break; // by the caller
+        }
+      }
+      answer_slot slot = std::move(slots_.front());
+      slots_.pop_front();
+      closes_after_write_ = slot.closes_connection || (is_stopping && !is_owed());
+      output_ += serialize(slot.answer, closes_after_write_);
       if (owner) {
         owner->connections_by_token.erase(slot.token);
       }
-      slots_.pop_front();
     }
+    is_flushing_ = false;
     write();
   }
 
@@ -302,13 +352,15 @@
       write();
       return;
     }
-    if (closes_after_write_) {
-      linger();
-      return;
-    }
-    if (!pending_input_.empty()) {
+    if (!closes_after_write_ && !pending_input_.empty()) {
       parse_pending_input();
     }
+    if (closes_after_write_ || (is_stopped_ && !is_owed())) {
+      if (!is_writing_) {
+        linger();
+      }
+      return;
+    }
     wait_for_bytes();
   }
 
@@ -317,17 +369,26 @@
   // the answer.
   void linger() {
     is_lingering_ = true;
-    pending_input_ = {};
+    dropped_bytes_ += std::exchange(pending_input_, {}).size();
     std::error_code ignored; // the caller may have closed already; the next read reports it
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     wait_for_bytes();
   }
 
+  void report_dropped_input(state& owner) {
+    dropped_bytes_ += pending_input_.size();
+    const bool is_cut = reader_.has_begun() && !is_refusing_ && !has_caller_left_;
+    if ((dropped_bytes_ > 0 || is_cut) && owner.handlers.on_input_dropped) {
+      owner.handlers.on_input_dropped({dropped_bytes_, is_cut, slots_.size()});
+    }
+  }
+
   std::weak_ptr<state> owner_;
   tcp::socket socket_;
   message_reader reader_;
   std::deque<answer_slot> slots_; // in request order
-  std::string pending_input_;
+  std::string pending_input_;     // received, and waits until there is room for its requests
+  std::size_t dropped_bytes_ = 0; // received, and not read as a request
   std::string output_;
   std::string write_buffer_;
   bool is_waiting_ = false;
@@ -335,8 +396,12 @@
   bool is_closed_ = false;
   bool is_refusing_ = false;
   bool is_lingering_ = false;
+  bool is_parsing_ = false;
+  bool is_flushing_ = false;
+  bool has_caller_left_ = false;
+  bool is_stopped_ = false; // no further request may begin
   bool closes_after_write_ = false;
-  bool closes_after_slots_ = false;
+  bool closes_after_slots_ = false; // the caller sends no further request
   bool has_sent_continue_ = false;
   bool has_activity_ = false;
   bool has_swept_ = false;
@@ -364,17 +429,33 @@
       });
       return;
     }
-    std::error_code ignored; // the first read reports a socket that is closed already
-    socket.non_blocking(true, ignored);
-    socket.set_option(tcp::no_delay(true), ignored);
-    const std::shared_ptr<connection> accepted =
-        std::make_shared<connection>(*self, std::move(socket));
-    self->connections.insert(accepted);
-    accepted->start();
+    self->add(std::move(socket));
     self->accept();
   });
 }
 
+void server::state::add(tcp::socket socket) {
+  std::error_code ignored; // the first read reports a socket that is closed already
+  socket.non_blocking(true, ignored);
+  socket.set_option(tcp::no_delay(true), ignored);
+  const std::shared_ptr<connection> accepted =
+      std::make_shared<connection>(*this, std::move(socket));
+  connections.insert(accepted);
+  accepted->start();
+}
+
+void server::state::accept_established() {
+  std::error_code error;
+  acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(loop);
+    acceptor.accept(socket, error);
+    if (!error) {
+      add(std::move(socket));
+    }
+  }
+}
+
 server::server(asio::io_context& loop, const tcp::endpoint& address, server_handlers handlers)
     : state_(std::make_shared<state>(loop, address, std::move(handlers))) {
   state_->accept();
@@ -415,6 +496,10 @@
 }
 
 void server::stop_reading() {
+  if (std::exchange(state_->is_stopped, true)) {
+    return;
+  }
+  state_->accept_established();
   std::error_code ignored; // the listener may be closed already
   state_->acceptor.close(ignored);
   state_->accept_timer.cancel();
@@ -425,6 +510,11 @@
   }
 }
 
+bool server::is_reading() const {
+  return !state_->is_stopped || std::any_of(state_->connections.begin(), state_->connections.end(),
+                                            [](const auto& item) { return item->has_input(); });
+}
+
 bool server::has_unsent_answers() const {
   return std::any_of(state_->connections.begin(), state_->connections.end(),
                      [](const auto& item) { return item->has_unsent_answers(); });
--- a/src/arbutuslb/runtime/http/server.h
+++ b/src/arbutuslb/runtime/http/server.h
@@ -31,6 +31,13 @@
   std::size_t max_pipelined = 32;
 };
 
+// Bytes that a closed connection had received and that were not passed on.
+struct dropped_input {
+  std::size_t bytes = 0;      // behind the last request that was read
+  bool has_begun = false;     // a request had been read in part
+  std::size_t unanswered = 0; // requests that were passed on and had not been answered
+};
+
 struct server_handlers {
   // Called with each complete request, which must be answered by one `respond` with the same token
   // unless the caller disconnects.
@@ -39,6 +46,8 @@
   std::function<void(std::uint64_t token)> on_disconnected;
   // Called when a connection could not be accepted, with the reason; may be empty.
   std::function<void(const std::string& reason)> on_accept_failed = {};
+  // Called when a connection is closed that had received more than was passed on; may be empty.
+  std::function<void(const dropped_input& dropped)> on_input_dropped = {};
 };
 
 // Not thread-safe.
@@ -58,11 +67,14 @@
   // Closes connections that were idle too long, and answers overdue requests with status 408. Time
   // limits are checked only here, so call it at least four times a second.
   void sweep(core::time_point now);
-  // From now on, each connection is closed after the answer to its last pending request.
+  // From now on, each connection is closed after an answer behind which the caller has sent no
+  // further request.
   void close_after_answers();
-  // Accepts no further connections and reads no further requests. Requests that were already read
-  // are still answered.
+  // Accepts no further connections and reads no further requests, except for what callers have
+  // already sent. A request that has begun is read to its end. All of them may still be answered.
   void stop_reading();
+  // Returns false after `stop_reading`, once every request that had begun has been passed on.
+  bool is_reading() const;
   std::size_t connection_count() const;
   // Returns true if a part of an answer has not been written to its connection, or if the caller
   // has not closed the connection after its last answer. An exit would then reset the connection,
