--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -121,12 +121,15 @@
 };
 struct stop_requested {};
 
-using event =
-    std::variant<tick, call_received, caller_disconnected, run_requested, peer_disconnected,
-                 attempt_written, attempt_completed, upstream_probed, heartbeat_received,
-                 deregistration_received, operator_records_received, reports_received,
-                 store_reachability_changed, peers_discovered, departure_recorded,
-                 suspicions_recorded, outcomes_read, outcome_recorded, stop_requested>;
+// After `stop_reading_callers`, every request that had begun to arrive has been received.
+struct callers_drained {};
+
+using event = std::variant<tick, call_received, caller_disconnected, run_requested,
+                           peer_disconnected, attempt_written, attempt_completed, upstream_probed,
+                           heartbeat_received, deregistration_received, operator_records_received,
+                           reports_received, store_reachability_changed, peers_discovered,
+                           departure_recorded, suspicions_recorded, outcomes_read, outcome_recorded,
+                           stop_requested, callers_drained>;
 
 // --- actions ---
 
@@ -200,7 +203,8 @@
   rollout_phase phase = rollout_phase::running;
   log_position expected_end;
 };
-// Reads no further requests of callers; those that were read are still answered.
+// Reads no further requests of callers, except those that have begun to arrive; `callers_drained`
+// follows. Those that were read are still answered.
 struct stop_reading_callers {};
 // Exits once every answer has been written, at the latest at `exits_by`.
 struct exit_process {
--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -41,6 +41,7 @@
   std::uint64_t answered = 0;
   std::uint64_t refused = 0;   // answered as not executed
   std::uint64_t unknown = 0;   // answered with an unknown outcome
+  std::uint64_t given_up = 0;  // of these, while an attempt had not completed
   std::uint64_t not_found = 0; // no route matched
   std::uint64_t callers_disconnected = 0;
   std::uint64_t repeats = 0; // retries after an attempt that may have reached an upstream
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -58,8 +58,6 @@
 // A record of suspicions that the store has not accepted is submitted again after this time.
 constexpr std::chrono::seconds suspicion_retry_delay{1};
 constexpr std::chrono::minutes suspicion_eviction_period{1};
-// A request that was read last is passed to the core within this time.
-constexpr std::chrono::milliseconds last_request_delay{100};
 
 // Splits a bundle into parts that fit into a datagram each.
 std::vector<report_bundle> split(const report_bundle& bundle) {
@@ -117,6 +115,7 @@
   void operator()(const outcomes_read& value) const { core.rollouts_.on_outcomes(value); }
   void operator()(const outcome_recorded& value) const { core.rollouts_.on_recorded(value); }
   void operator()(const stop_requested&) const { core.begin_stopping(); }
+  void operator()(const callers_drained&) const { core.are_callers_drained_ = true; }
 };
 
 gateway_core::gateway_core(gateway_settings settings, std::uint64_t seed, time_point now)
@@ -587,21 +586,25 @@
     return;
   }
   const stop_plan& plan = shared_.stop;
-  if (!has_stopped_reading_ && shared_.now >= plan.reads_until) {
+  const bool is_time_over = shared_.now >= plan.answers_by;
+  // Executions at the local upstream may send requests of their own, as callers.
+  if (!has_stopped_reading_ &&
+      (is_time_over || (shared_.now >= plan.reads_until && gate_.is_idle()))) {
     has_stopped_reading_ = true;
     shared_.add_action(stop_reading_callers{});
   }
-  const bool is_complete =
-      gate_.is_idle() && router_.is_idle() && shared_.now >= plan.reads_until + last_request_delay;
-  if (!is_complete && shared_.now < plan.answers_by) {
+  const bool is_complete = gate_.is_idle() && router_.is_idle() && are_callers_drained_;
+  if (!is_complete && !is_time_over) {
     return;
   }
+  const std::uint64_t given_up_before = shared_.totals.given_up;
   router_.end_all("daemon is leaving");
   gate_.end_all("daemon is leaving");
   has_exited_ = true;
   shared_.write(engine::severity::info, "stopped",
                 {{"after_ms", std::to_string(to_milliseconds(shared_.now - plan.requested))},
-                 {"complete", is_complete ? "true" : "false"}});
+                 {"complete", is_complete ? "true" : "false"},
+                 {"given_up", std::to_string(shared_.totals.given_up - given_up_before)}});
   shared_.add_action(exit_process{plan.exits_by});
 }
 
--- a/src/arbutuslb/core/gateway/gateway_core.h
+++ b/src/arbutuslb/core/gateway/gateway_core.h
@@ -104,6 +104,7 @@
   time_point next_suspicion_record_{};
   time_point next_eviction_{};
   bool has_stopped_reading_ = false;
+  bool are_callers_drained_ = false;
   bool has_exited_ = false;
   bool was_usable_ = false;
 };
--- a/src/arbutuslb/core/gateway/planned_stop_test.cc
+++ b/src/arbutuslb/core/gateway/planned_stop_test.cc
@@ -122,3 +122,36 @@
   fixture.fleet.run_for(300ms);
   cr_assert(fixture.fleet.not_reading.contains(0));
 }
+
+// Guards against executions that fail during a stop: the requests that they send through their own
+// daemon found no listener once reading had ended.
+Test(planned_stop, callers_are_read_while_executions_at_the_local_upstream_go_on) {
+  stop_fixture fixture(1);
+  fixture.fleet.run_for(2s);
+  for (std::size_t at = 0; at < 8; ++at) {
+    fixture.send(at);
+  }
+  fixture.fleet.run_for(100ms);
+  cr_assert_gt(fixture.fleet.in_flight_of(0), 0);
+  fixture.fleet.stop(0);
+  fixture.fleet.run_for(3s);
+  cr_assert_gt(fixture.fleet.in_flight_of(0), 0);
+  cr_assert_not(fixture.fleet.not_reading.contains(0));
+  fixture.fleet.run_for(500ms);
+  cr_assert_eq(fixture.fleet.in_flight_of(0), 0);
+  cr_assert(fixture.fleet.not_reading.contains(0));
+  fixture.fleet.run_for(500ms);
+  cr_assert(fixture.fleet.exited.contains(0));
+}
+
+// Guards against a request that was cut: the process exited while it was being received.
+Test(planned_stop, the_process_waits_for_requests_that_have_begun_to_arrive) {
+  stop_fixture fixture(1);
+  fixture.fleet.slow_callers.insert(0);
+  fixture.fleet.stop(0);
+  fixture.fleet.run_for(4s);
+  cr_assert(fixture.fleet.not_reading.contains(0));
+  cr_assert_not(fixture.fleet.exited.contains(0));
+  fixture.fleet.run_for(1600ms); // not beyond the time of the last answer
+  cr_assert(fixture.fleet.exited.contains(0));
+}
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -467,6 +467,7 @@
   if (!pending) {
     return;
   }
+  ++shared_.totals.given_up;
   cancel_all(*pending);
   pending->last_result = run_result{};
   pending->last_result.outcome = run_outcome::unknown;
--- a/src/arbutuslb/core/gateway/stop_plan.h
+++ b/src/arbutuslb/core/gateway/stop_plan.h
@@ -2,8 +2,9 @@
 // which the platform ends the process:
 //
 //   requested   callers are told to use other daemons; their requests are still read
-//   reads_until no request is read any more
-//   answers_by  every request has been answered
+//   reads_until no request is read any more, unless executions at the local upstream are still in
+//               progress: they may send requests of their own
+//   answers_by  no request is read any more, and every request has been answered
 //   exits_by    the process has exited, whether its answers have been read or not
 //
 // A request that is read during the stop is accepted only if its execution can end by `answers_by`.
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -198,7 +198,15 @@
         });
   }
   void operator()(const core::engine::write_event& action) const { fleet.log.push_back(action); }
-  void operator()(const gateway::stop_reading_callers&) const { fleet.not_reading.insert(index); }
+  void operator()(const gateway::stop_reading_callers&) const {
+    gateway_fleet& fleet_ref = fleet;
+    fleet_ref.not_reading.insert(index);
+    if (!fleet_ref.slow_callers.contains(index)) {
+      fleet_ref.after(default_delay, [&fleet_ref, target = index] {
+        fleet_ref.handle(target, gateway::callers_drained{});
+      });
+    }
+  }
   void operator()(const gateway::exit_process&) const { fleet.exited.insert(index); }
 };
 
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -95,7 +95,8 @@
   std::vector<std::size_t> most_running;             // highest concurrency so far, by daemon
   std::vector<std::vector<core::time_point>> starts; // start times of executions, by daemon
   std::set<std::size_t> exited;
-  std::set<std::size_t> not_reading; // daemons that read no more requests of callers
+  std::set<std::size_t> not_reading;  // daemons that read no more requests of callers
+  std::set<std::size_t> slow_callers; // daemons whose callers never complete a request
   std::map<std::string, core::gateway::rollout_phase> outcomes; // recorded in the store, by service
   std::set<std::pair<std::size_t, std::size_t>> cuts; // partitioned pairs, lower index first
   // Requests that kill each upstream that executes them, by target: after this time.
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -197,7 +197,10 @@
     void operator()(const core::engine::write_event& action) const {
       host.log.write(action, host.clock.now());
     }
-    void operator()(const gateway::stop_reading_callers&) const { host.callers.stop_reading(); }
+    void operator()(const gateway::stop_reading_callers&) const {
+      host.callers.stop_reading();
+      host.are_callers_stopped = true;
+    }
     void operator()(const gateway::exit_process& action) const {
       host.exits_by = action.exits_by;
       host.exit_after_answers();
@@ -537,6 +540,10 @@
         item->sweep(now);
       }
     }
+    if (are_callers_stopped && !callers.is_reading()) {
+      are_callers_stopped = false;
+      handle(gateway::callers_drained{});
+    }
     handle(gateway::tick{});
     if (exits_by) {
       exit_after_answers();
@@ -600,6 +607,7 @@
   std::uint64_t inputs_dropped = 0; // connections closed over input that was not passed on
   std::uint64_t configured_version = 0;
   core::time_point last_sweep_at{};
+  bool are_callers_stopped = false; // and the core does not know yet that all have been read
   // Set once all requests have been answered; the answers may still be being written.
   std::optional<core::time_point> exits_by;
 };
