Soak of planned work: callers that send early, in pieces or leave, and executions that send requests of their own

What it guards: a tenth of the callers send three requests before the first answer, at once or with pauses of up to 200 ms; a twentieth each send a body in two pieces, or leave within 300 ms; slow executions (a tenth, 3.4 s) send a request of their own after 3 s. Broken: a request without an answer that was executed, or that had been sent more than 200 ms before its connection ended, and a call of an execution without an answer. The draws of the existing callers and faults come from their own source as before; those of the new callers from another one.

--- a/src/arbutuslb/soak/site.cc
+++ b/src/arbutuslb/soak/site.cc
@@ -25,8 +25,8 @@
 }
 
 upstream_settings site::make_upstream_settings() const {
-  return {settings.service, settings.domain, endpoint(upstream_port + 1), endpoint(upstream_port),
-          endpoint(heartbeats_port)};
+  return {settings.service,        settings.domain,           endpoint(upstream_port + 1),
+          endpoint(upstream_port), endpoint(heartbeats_port), callers()};
 }
 
 void site::write_settings() const {
--- a/src/arbutuslb/soak/soak.cc
+++ b/src/arbutuslb/soak/soak.cc
@@ -3,6 +3,7 @@
 #include "arbutuslb/fakes/platform_store.h"
 #include "arbutuslb/platform/store_client.h"
 #include "arbutuslb/soak/ledger.h"
+#include "arbutuslb/soak/raw_caller.h"
 #include "arbutuslb/soak/site.h"
 
 #include <csignal>
@@ -36,6 +37,18 @@
 constexpr std::chrono::milliseconds planned_call_timeout{8000};
 constexpr double slow_ratio = 0.1;
 constexpr std::chrono::milliseconds stop_notice_time{2000};
+// Parts of the callers that send several requests before the first answer, that send a body in
+// pieces, and that leave before the answer.
+constexpr double early_ratio = 0.1;
+constexpr double slow_body_ratio = 0.05;
+constexpr double impatient_ratio = 0.05;
+constexpr std::size_t early_requests = 3;
+constexpr std::chrono::milliseconds max_early_gap{200};
+constexpr std::chrono::milliseconds max_body_gap{400};
+constexpr std::chrono::milliseconds max_patience{300};
+// A request that ends without an answer may have crossed the close of its connection if that
+// happened within this time.
+constexpr std::chrono::milliseconds crossing_time{200};
 constexpr std::chrono::milliseconds mean_fault_interval{350};
 constexpr std::chrono::milliseconds max_fault_time{2500};
 constexpr std::chrono::milliseconds publish_period{1500};
@@ -81,7 +94,7 @@
 public:
   explicit soak(const soak_options& options)
       : options_(options), random_(options.seed), restore_random_(~options.seed),
-        crash_random_(options.seed + 1),
+        crash_random_(options.seed + 1), caller_random_(options.seed + 2),
         ledger_([this](const std::string& promise, const std::string& id) { report(promise, id); }),
         store_(loop_, {address(true, 1), store_port}, random_.bits()), client_(loop_),
         operator_connections_(loop_),
@@ -154,6 +167,10 @@
                             if (!is_running) {
                               crashes_.push_back(clock_.now());
                             }
+                          },
+                          [this](const std::string& id) { ledger_.on_sent(id, false, ""); },
+                          [this](const std::string& id) {
+                            report("a call of an execution found no listener or no answer", id);
                           }}));
   }
 
@@ -204,7 +221,10 @@
       return;
     }
     const bool is_slow = options_.is_planned && random_.fraction() < slow_ratio;
-    const std::string id = "a-" + std::to_string(++last_call_);
+    if (options_.is_planned && call_raw(instance, is_slow)) {
+      return;
+    }
+    const std::string id = next_id();
     core::http_request request;
     request.method = is_unsafe ? "POST" : "GET";
     request.target = (is_unsafe ? std::string("/orders") : std::string("/menu")) +
@@ -225,15 +245,92 @@
     send(instance, std::move(request), id, on_end);
   }
 
+  std::string next_id() { return "a-" + std::to_string(++last_call_); }
+
+  // Lets one of the callers that keep no order send its requests. Returns false if the draw is an
+  // ordinary call.
+  bool call_raw(site& instance, bool is_slow) {
+    const double draw = caller_random_.fraction();
+    std::vector<caller_write> writes;
+    duration time_limit = planned_call_timeout + 500ms;
+    if (draw < early_ratio) {
+      const duration gap =
+          caller_random_.fraction() < 0.5 ? duration::zero() : caller_random_.jitter(max_early_gap);
+      for (std::size_t i = 0; i < early_requests; ++i) {
+        const std::string id = next_id();
+        ledger_.on_sent(id, false, "");
+        const std::string bytes = http::serialize(raw_request(id, "GET", is_slow && i == 0, ""));
+        if (gap == duration::zero() && i > 0) {
+          writes.front().bytes += bytes;
+          writes.front().completed.push_back(id);
+        } else {
+          writes.push_back({gap, bytes, {id}});
+        }
+      }
+    } else if (draw < early_ratio + slow_body_ratio) {
+      const std::string id = next_id();
+      const std::string body = "order " + id;
+      ledger_.on_sent(id, true, body);
+      const std::string bytes = http::serialize(raw_request(id, "POST", false, body));
+      const std::size_t half = bytes.size() - body.size() / 2;
+      writes.push_back({duration::zero(), bytes.substr(0, half), {}});
+      writes.push_back({caller_random_.jitter(max_body_gap), bytes.substr(half), {id}});
+    } else if (draw < early_ratio + slow_body_ratio + impatient_ratio) {
+      const std::string id = next_id();
+      ledger_.on_sent(id, false, "");
+      writes.push_back(
+          {duration::zero(), http::serialize(raw_request(id, "GET", is_slow, "")), {id}});
+      time_limit = caller_random_.jitter(max_patience);
+    } else {
+      return false;
+    }
+    const bool is_impatient = time_limit < planned_call_timeout;
+    raw_caller::start(loop_, instance.callers(), std::move(writes), time_limit,
+                      [this, is_slow, is_impatient](const caller_result& result) {
+                        on_raw_end(result, is_slow, is_impatient);
+                      });
+    return true;
+  }
+
+  core::http_request raw_request(const std::string& id, const std::string& method, bool is_slow,
+                                 const std::string& body) const {
+    core::http_request request;
+    request.method = method;
+    request.target = method == "GET" ? std::string("/menu") : std::string("/orders");
+    request.target += is_slow ? slow_suffix : "/1";
+    request.headers = caller_headers(id);
+    request.body = body;
+    return request;
+  }
+
+  void on_raw_end(const caller_result& result, bool is_slow, bool is_impatient) {
+    if (result.answer) {
+      ledger_.on_answer(result.id, *result.answer);
+      check_executed_answer(result.id, result.answer->status, is_slow);
+      return;
+    }
+    ledger_.on_no_answer(result.id);
+    if (!is_impatient && (ledger_.was_executed(result.id) || result.waited > crossing_time)) {
+      report("a request got no answer " + std::to_string(core::to_milliseconds(result.waited)) +
+                 " ms after it was sent",
+             result.id);
+    }
+  }
+
   void check_planned(const std::string& id, const http::exchange_result& end, bool is_slow) {
     if (!options_.is_planned || !ledger_.was_executed(id)) {
       return;
     }
     if (end.outcome != http::exchange_outcome::answered) {
       report("a request that was executed got no answer", id);
-    } else if (end.answer.status != status_ok && !is_slow) {
-      report("a request that was executed was answered with " + std::to_string(end.answer.status),
-             id);
+    } else {
+      check_executed_answer(id, end.answer.status, is_slow);
+    }
+  }
+
+  void check_executed_answer(const std::string& id, int status, bool is_slow) {
+    if (ledger_.was_executed(id) && status != status_ok && !is_slow) {
+      report("a request that was executed was answered with " + std::to_string(status), id);
     }
   }
 
@@ -274,14 +371,18 @@
 
   void send(site& instance, core::http_request request, const std::string& id,
             http::client::completion_handler on_end) {
-    request.headers = {{"Host", host_name},
-                       {"X-Attempt-Identifier", id},
-                       {"X-Deadline-Remaining", std::to_string(caller_time().count())}};
+    request.headers = caller_headers(id);
     http::send_options send_options;
     send_options.answer_timeout = caller_time() + 500ms;
     client_.send(instance.callers(), request, send_options, std::move(on_end));
   }
 
+  core::header_list caller_headers(const std::string& id) const {
+    return {{"Host", host_name},
+            {"X-Attempt-Identifier", id},
+            {"X-Deadline-Remaining", std::to_string(caller_time().count())}};
+  }
+
   std::chrono::milliseconds caller_time() const {
     return options_.is_planned ? planned_call_timeout : call_timeout;
   }
@@ -522,7 +623,8 @@
   core::random_source random_;
   // Its own source, so that the other faults of a seed do not depend on restores.
   core::random_source restore_random_;
-  core::random_source crash_random_; // likewise
+  core::random_source crash_random_;  // likewise
+  core::random_source caller_random_; // likewise
   asio::io_context loop_{1};
   runtime::anchored_clock clock_;
   ledger ledger_;
--- a/src/arbutuslb/soak/upstream_stand_in.cc
+++ b/src/arbutuslb/soak/upstream_stand_in.cc
@@ -25,6 +25,9 @@
 constexpr std::chrono::milliseconds draining_time{3500};
 constexpr std::chrono::milliseconds restart_delay{300};
 constexpr std::chrono::milliseconds crash_down_time{1000};
+// A slow execution sends a request of its own after `call_delay`; its time limit is `call_time`.
+constexpr std::chrono::milliseconds call_delay{3000};
+constexpr std::chrono::milliseconds call_time{300};
 
 std::string to_text(const asio::ip::tcp::endpoint& address) {
   return address.address().to_string() + ":" + std::to_string(address.port());
@@ -44,11 +47,12 @@
 upstream_stand_in::upstream_stand_in(asio::io_context& loop, upstream_settings settings,
                                      std::uint64_t seed, upstream_handlers handlers)
     : loop_(loop), settings_(std::move(settings)), random_(seed), handlers_(std::move(handlers)),
-      heartbeats_(loop), server_(loop, settings_.listen,
-                                 {[this](std::uint64_t token, const core::http_request& request) {
-                                    on_request(token, request);
-                                  },
-                                  [](std::uint64_t) {}}),
+      heartbeats_(loop), calls_(loop),
+      server_(loop, settings_.listen,
+              {[this](std::uint64_t token, const core::http_request& request) {
+                 on_request(token, request);
+               },
+               [this](std::uint64_t token) { running_.erase(token); }}),
       heartbeat_timer_(loop) {
   start_instance(false);
 }
@@ -66,6 +70,7 @@
 void upstream_stand_in::sweep(core::time_point now) {
   server_.sweep(now);
   heartbeats_.sweep(now);
+  calls_.sweep(now);
 }
 
 void upstream_stand_in::start_instance(bool keeps_id) {
@@ -176,15 +181,40 @@
     });
     return;
   }
+  const bool is_slow = request.target.ends_with(slow_suffix);
+  if (is_slow) {
+    running_.insert(token);
+    after(call_delay, [this, token, attempt_id] { call_for(token, attempt_id); });
+  }
   after(
-      request.target.ends_with(slow_suffix)
-          ? slow_execution_time
-          : min_execution_time + random_.jitter(execution_time_spread),
+      is_slow ? slow_execution_time : min_execution_time + random_.jitter(execution_time_spread),
       [this, token, attempt_id, body = request.body] { answer_request(token, attempt_id, body); });
 }
 
+void upstream_stand_in::call_for(std::uint64_t token, const std::string& attempt_id) {
+  if (!running_.contains(token)) {
+    return; // cancelled
+  }
+  const std::string id = "n-" + attempt_id + "-" + instance_id_;
+  handlers_.on_call(id);
+  core::http_request request;
+  request.method = "GET";
+  request.target = "/menu/1";
+  request.headers = {{"Host", "soak.example"},
+                     {"X-Attempt-Identifier", id},
+                     {"X-Deadline-Remaining", std::to_string(call_time.count())}};
+  http::send_options options;
+  options.answer_timeout = call_time + std::chrono::milliseconds{500};
+  calls_.send(settings_.callers, request, options, [this, token, id](const auto& end) {
+    if (end.outcome != http::exchange_outcome::answered && running_.contains(token)) {
+      handlers_.on_call_lost(id);
+    }
+  });
+}
+
 void upstream_stand_in::answer_request(std::uint64_t token, const std::string& attempt_id,
                                        const std::string& body) {
+  running_.erase(token);
   core::http_response answer;
   answer.status = status_ok;
   answer.headers = {{"X-Attempt-Identifier", attempt_id},
--- a/src/arbutuslb/soak/upstream_stand_in.h
+++ b/src/arbutuslb/soak/upstream_stand_in.h
@@ -12,6 +12,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <set>
 #include <string>
 
 namespace arbutuslb::soak {
@@ -31,6 +32,7 @@
   asio::ip::tcp::endpoint listen;     // receives requests
   asio::ip::tcp::endpoint advertised; // address sent in heartbeats, to which the daemon connects
   asio::ip::tcp::endpoint daemon;     // receives the heartbeats
+  asio::ip::tcp::endpoint callers;    // receives the calls of slow executions
 };
 
 struct upstream_handlers {
@@ -40,6 +42,9 @@
   std::function<void(const std::string& attempt_id, core::duration late)> on_late_execution;
   // The process ends (false): it must be unreachable until it starts again (true).
   std::function<void(bool is_running)> on_crash;
+  // A slow execution sends a request of its own, and gets no answer to it.
+  std::function<void(const std::string& attempt_id)> on_call;
+  std::function<void(const std::string& attempt_id)> on_call_lost;
 };
 
 // Not thread-safe.
@@ -59,6 +64,8 @@
   enum class phase : std::uint8_t { ready, draining, offline };
 
   void on_request(std::uint64_t token, const core::http_request& request);
+  // Sends the request that an execution needs.
+  void call_for(std::uint64_t token, const std::string& attempt_id);
   void answer_request(std::uint64_t token, const std::string& attempt_id, const std::string& body);
   void crash();
   void start_instance(bool keeps_id);
@@ -77,7 +84,9 @@
   std::uint64_t sequence_ = 0;
   int start_count_ = 0;
   core::time_point departure_acknowledged_at_{}; // zero before the acknowledgement
+  std::set<std::uint64_t> running_;              // tokens of slow executions
   runtime::http::client heartbeats_;
+  runtime::http::client calls_;
   runtime::http::server server_;
   asio::steady_timer heartbeat_timer_;
 };
