--- a/src/arbutuslb/platform/store_client.cc
+++ b/src/arbutuslb/platform/store_client.cc
@@ -279,7 +279,7 @@
     request.target += "&at=" + std::to_string(*expected_end);
   }
   request.body = encode_record(key, value);
-  send_request(std::move(request), call_timeout, connection_choice::any,
+  send_request(std::move(request), call_timeout, connection_choice::new_one,
                [on_result = std::move(on_result)](const http::exchange_result& exchange) {
                  on_result(decode_append(exchange));
                });
--- a/src/arbutuslb/platform/store_client.h
+++ b/src/arbutuslb/platform/store_client.h
@@ -60,7 +60,8 @@
                           std::function<void(read_result)> on_result,
                           connection_choice choice = connection_choice::any);
   void cancel(std::uint64_t request_id) { connections_.cancel(request_id); }
-  // Appends one record; if `expected_end` is set, only if it is the end offset of the log.
+  // Appends one record; if `expected_end` is set, only if it is the end offset of the log. Uses a
+  // new connection: appends are rare, and callers wait for them.
   void append(const std::string& topic, const std::string& key, const std::string& value,
               std::optional<std::uint64_t> expected_end,
               std::function<void(append_result)> on_result);
--- a/src/arbutuslb/runtime/member_registry_test.cc
+++ b/src/arbutuslb/runtime/member_registry_test.cc
@@ -3,6 +3,7 @@
 #include "arbutuslb/platform/orders.h"
 #include "arbutuslb/runtime/member_registry.h"
 #include "arbutuslb/runtime/store_test_support.h"
+#include "arbutuslb/soak/link_proxy.h"
 
 #include <algorithm>
 #include <criterion/criterion.h>
@@ -60,3 +61,22 @@
   cr_assert(found.suspicions == std::vector<arbutuslb::core::calls::suspicion>({suspect}));
   cr_assert(malformed == std::vector<std::string>({"suspicions_malformed"}));
 }
+
+// Guards against a departure that is forgotten by a restart: its record waited for an answer on a
+// connection that had gone silent, and the departure was acknowledged meanwhile.
+Test(member_registry, a_departure_is_recorded_although_open_connections_are_silent) {
+  store_fixture fixture;
+  const asio::ip::tcp::endpoint address = fixture.free_address();
+  arbutuslb::soak::link_proxy link(fixture.loop, address, fixture.address);
+  // Without checks of time limits, which would give up the silent connection.
+  arbutuslb::runtime::http::client connections(fixture.loop);
+  arbutuslb::platform::store_client client(connections, address);
+  arbutuslb::runtime::member_registry members(client, "10.0.0.7", "seven",
+                                              [](const std::string&, const std::string&) {});
+  discover(fixture, members, 0); // leaves an open connection
+  link.silence_open();
+  bool is_recorded = false;
+  members.record_departure({"i-1", 1000},
+                           [&](bool recorded, std::uint64_t) { is_recorded = recorded; });
+  cr_assert(fixture.run_until([&] { return is_recorded; }));
+}
--- a/src/arbutuslb/runtime/store_test_support.h
+++ b/src/arbutuslb/runtime/store_test_support.h
@@ -33,7 +33,6 @@
   http::client connections;
   platform::store_client client;
 
-private:
   asio::ip::tcp::endpoint free_address() {
     asio::ip::tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
     return probe.local_endpoint();
--- a/src/arbutuslb/soak/link_proxy.cc
+++ b/src/arbutuslb/soak/link_proxy.cc
@@ -45,6 +45,8 @@
     });
   }
 
+  void silence() { is_silent_ = true; }
+
   void close(bool by_reset) {
     const std::shared_ptr<session> self = shared_from_this();
     for (tcp::socket* socket : {&caller_, &target_}) {
@@ -78,7 +80,8 @@
     if (!owner) {
       return;
     }
-    if (is_to_target ? owner->fault.drops_to_target : owner->fault.drops_to_caller) {
+    if (is_silent_ ||
+        (is_to_target ? owner->fault.drops_to_target : owner->fault.drops_to_caller)) {
       read_next(is_to_target);
       return;
     }
@@ -108,6 +111,9 @@
 
   // Handles the end of one direction. The other direction may continue.
   void half_close(bool is_to_target) {
+    if (is_silent_) {
+      return; // the other side does not see it
+    }
     if (++closed_directions_ == 2) {
       close(false);
       return;
@@ -121,6 +127,7 @@
   tcp::socket target_;
   std::array<std::array<char, buffer_size>, 2> buffers_{};
   int closed_directions_ = 0;
+  bool is_silent_ = false;
 };
 
 void link_proxy::state::accept() {
@@ -159,6 +166,12 @@
   }
 }
 
+void link_proxy::silence_open() {
+  for (const std::shared_ptr<session>& item : state_->sessions) {
+    item->silence();
+  }
+}
+
 void link_proxy::set_listening(bool is_listening) {
   if (is_listening && !state_->acceptor.is_open()) {
     state_->acceptor = tcp::acceptor(state_->loop, state_->address);
--- a/src/arbutuslb/soak/link_proxy.h
+++ b/src/arbutuslb/soak/link_proxy.h
@@ -34,6 +34,8 @@
   void set_fault(const link_fault& fault);
   // Resets all open connections.
   void reset_all();
+  // Open connections go silent for good, without a reset; new ones work.
+  void silence_open();
   // False: resets all connections and refuses new ones, as if no process listened at the address.
   void set_listening(bool is_listening);
 
