A planned stop answers what the upstream and the peers have sent before it exits

What users could see: an upstream that announces its departure shortly before its daemon exits got no acknowledgement, since the exit did not wait for the record in the store. A heartbeat or a request of a peer that was received but not read at the exit was reset. Evidence: planned_stop::a_departure_that_was_announced_is_acknowledged_before_the_process_exits failed before and passes.

--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -145,8 +145,13 @@
 Test(gate, a_planned_stop_waits_until_callers_have_noticed_it) {
   tested_daemon one;
   one.core.handle(gateway::stop_requested{}, start);
-  cr_assert(find<gateway::exit_process>(one.core.handle(gateway::tick{}, start + 2000ms)) ==
-            nullptr);
+  const std::vector<gateway::action> early = one.core.handle(gateway::tick{}, start + 2000ms);
+  cr_assert(find<gateway::stop_reading_callers>(early) == nullptr);
+  cr_assert(find<gateway::exit_process>(early) == nullptr);
+  const std::vector<gateway::action> later = one.core.handle(gateway::tick{}, start + 2300ms);
+  cr_assert(find<gateway::stop_reading_callers>(later) != nullptr);
+  cr_assert(find<gateway::exit_process>(later) == nullptr);
+  one.core.handle(gateway::callers_drained{}, start + 2400ms);
   cr_assert(find<gateway::exit_process>(one.core.handle(gateway::tick{}, start + 2400ms)) !=
             nullptr);
 }
@@ -302,6 +307,10 @@
   const std::vector<gateway::action> actions =
       daemon.core.handle(gateway::upstream_probed{gateway::probe_outcome::unknown}, start + 3s);
   cr_assert_neq(find<gateway::answer_peer>(actions), nullptr);
+  cr_assert_neq(
+      find<gateway::stop_reading_callers>(daemon.core.handle(gateway::tick{}, start + 4s)),
+      nullptr);
+  daemon.core.handle(gateway::callers_drained{}, start + 4s);
   cr_assert_neq(find<gateway::exit_process>(daemon.core.handle(gateway::tick{}, start + 4s)),
                 nullptr);
 }
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -593,7 +593,8 @@
     has_stopped_reading_ = true;
     shared_.add_action(stop_reading_callers{});
   }
-  const bool is_complete = gate_.is_idle() && router_.is_idle() && are_callers_drained_;
+  const bool is_complete =
+      gate_.is_idle() && !gate_.owes_acknowledgement() && router_.is_idle() && are_callers_drained_;
   if (!is_complete && !is_time_over) {
     return;
   }
--- a/src/arbutuslb/core/gateway/planned_stop_test.cc
+++ b/src/arbutuslb/core/gateway/planned_stop_test.cc
@@ -155,3 +155,21 @@
   fixture.fleet.run_for(1600ms); // not beyond the time of the last answer
   cr_assert(fixture.fleet.exited.contains(0));
 }
+
+// Guards against a departure without an acknowledgement: it was announced shortly before the
+// process exited, and was still being recorded.
+Test(planned_stop, a_departure_that_was_announced_is_acknowledged_before_the_process_exits) {
+  stop_fixture fixture(1);
+  fixture.fleet.run_for(4s);
+  fixture.fleet.stop(0);
+  fixture.fleet.run_for(2s);
+  fixture.fleet.is_store_down = true;
+  fixture.fleet.run_for(190ms);
+  gateway::heartbeat leaving = fixture.fleet.next_heartbeat(0);
+  leaving.state = gateway::upstream_lifecycle::draining;
+  leaving.sequence += 100;
+  const std::uint64_t token = fixture.fleet.send_heartbeat(0, leaving);
+  fixture.fleet.run_for(3s);
+  cr_assert(fixture.fleet.exited.contains(0));
+  cr_assert(fixture.fleet.acknowledged.contains(token));
+}
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -53,6 +53,8 @@
   void on_tick();
 
   bool is_idle() const { return executions_.empty() && interrupted_.empty(); }
+  // Returns true if the upstream has announced its departure and waits for the acknowledgement.
+  bool owes_acknowledgement() const { return !departure_tokens_.empty(); }
   // Answers all requests of peers: those that wait as not executed, the others as unknown.
   void end_all(const std::string& reason);
   // Sets the fields of the report that describe the upstream.
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -203,13 +203,18 @@
     }
     void operator()(const gateway::exit_process& action) const {
       host.exits_by = action.exits_by;
+      // What peers and the upstream have sent by now is still answered.
+      host.peers.stop_reading();
+      host.upstreams.stop_reading();
       host.exit_after_answers();
     }
   };
 
   // Ends the process once every answer has been written, or when its time is over.
   void exit_after_answers() {
-    if (clock.now() < *exits_by && (callers.has_unsent_answers() || peers.has_unsent_answers())) {
+    const bool has_unsent = callers.has_unsent_answers() || peers.has_unsent_answers() ||
+                            upstreams.has_unsent_answers();
+    if (clock.now() < *exits_by && has_unsent) {
       return;
     }
     follower.stop();
