Soak of all faults: callers that send early, in pieces or leave, and connections that go silent for good

Beside a fault, with a chance of 15 in 100, the open connections of another link go silent for good. The proxy of the soak dropped one request of three and passed the next ones on the same connection, which no TCP connection does: the answer to the next request was taken for it. A connection that has lost bytes now remains silent.

--- a/src/arbutuslb/soak/link_proxy.cc
+++ b/src/arbutuslb/soak/link_proxy.cc
@@ -82,6 +82,7 @@
     }
     if (is_silent_ ||
         (is_to_target ? owner->fault.drops_to_target : owner->fault.drops_to_caller)) {
+      is_silent_ = true; // a stream does not go on behind bytes that were lost
       read_next(is_to_target);
       return;
     }
--- a/src/arbutuslb/soak/link_proxy.h
+++ b/src/arbutuslb/soak/link_proxy.h
@@ -16,8 +16,10 @@
 
 // The default is a link without faults.
 struct link_fault {
-  core::duration delay{};       // of each chunk of data, in both directions
-  bool drops_to_target = false; // data to the target is dropped; the connection stays open
+  core::duration delay{}; // of each chunk of data, in both directions
+  // Data to the target, or to the caller, is dropped. A connection that has lost data remains
+  // silent.
+  bool drops_to_target = false;
   bool drops_to_caller = false;
   bool refuses = false; // connections are closed as soon as they are accepted
 };
--- a/src/arbutuslb/soak/soak.cc
+++ b/src/arbutuslb/soak/soak.cc
@@ -49,6 +49,8 @@
 // A request that ends without an answer may have crossed the close of its connection if that
 // happened within this time.
 constexpr std::chrono::milliseconds crossing_time{200};
+// Beside a fault, the open connections of another link go silent for good.
+constexpr double severed_ratio = 0.15;
 constexpr std::chrono::milliseconds mean_fault_interval{350};
 constexpr std::chrono::milliseconds max_fault_time{2500};
 constexpr std::chrono::milliseconds publish_period{1500};
@@ -221,7 +223,7 @@
       return;
     }
     const bool is_slow = options_.is_planned && random_.fraction() < slow_ratio;
-    if (options_.is_planned && call_raw(instance, is_slow)) {
+    if (call_raw(instance, is_slow)) {
       return;
     }
     const std::string id = next_id();
@@ -252,7 +254,7 @@
   bool call_raw(site& instance, bool is_slow) {
     const double draw = caller_random_.fraction();
     std::vector<caller_write> writes;
-    duration time_limit = planned_call_timeout + 500ms;
+    duration time_limit = caller_time() + 500ms;
     if (draw < early_ratio) {
       const duration gap =
           caller_random_.fraction() < 0.5 ? duration::zero() : caller_random_.jitter(max_early_gap);
@@ -284,7 +286,7 @@
     } else {
       return false;
     }
-    const bool is_impatient = time_limit < planned_call_timeout;
+    const bool is_impatient = time_limit < caller_time();
     raw_caller::start(loop_, instance.callers(), std::move(writes), time_limit,
                       [this, is_slow, is_impatient](const caller_result& result) {
                         on_raw_end(result, is_slow, is_impatient);
@@ -310,7 +312,8 @@
       return;
     }
     ledger_.on_no_answer(result.id);
-    if (!is_impatient && (ledger_.was_executed(result.id) || result.waited > crossing_time)) {
+    const bool is_owed = options_.is_planned && !is_impatient;
+    if (is_owed && (ledger_.was_executed(result.id) || result.waited > crossing_time)) {
       report("a request got no answer " + std::to_string(core::to_milliseconds(result.waited)) +
                  " ms after it was sent",
              result.id);
@@ -329,7 +332,7 @@
   }
 
   void check_executed_answer(const std::string& id, int status, bool is_slow) {
-    if (ledger_.was_executed(id) && status != status_ok && !is_slow) {
+    if (options_.is_planned && ledger_.was_executed(id) && status != status_ok && !is_slow) {
       report("a request that was executed was answered with " + std::to_string(status), id);
     }
   }
@@ -470,6 +473,9 @@
   void schedule_fault() {
     after(random_.jitter(mean_fault_interval * 2), [this] {
       if (!is_recovering_) {
+        if (!options_.is_planned && caller_random_.fraction() < severed_ratio) {
+          sever();
+        }
         inject(options_.is_planned
                    ? (random_.fraction() < 0.7 ? fault_kind::terminate : fault_kind::reload)
                    : static_cast<fault_kind>(
@@ -492,6 +498,14 @@
     }
   }
 
+  // Open connections of a link go silent for good.
+  void sever() {
+    site& instance = *sites_[caller_random_.below(sites_.size())];
+    instance.disturbed_until = std::max<time_point>(instance.disturbed_until, clock_.now());
+    links_of(instance)[caller_random_.below(links_of(instance).size())]->silence_open();
+    ++fault_count_;
+  }
+
   void inject_link_fault(site& instance, fault_kind kind, duration time) {
     link_proxy* link = links_of(instance)[random_.below(links_of(instance).size())];
     link_fault fault;
