A line break before a message no longer turns off the check for bare line feeds (found by fuzzing)

What could happen: a message that arrived together with a line break before it was read although its lines ended with a bare line feed, which other readers end elsewhere; and the connection counted as idle while it was being read. Cause: whether a message had begun was judged by the first byte of a read. Change: line breaks before a message are skipped one by one, and count towards the limit of its header.

--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -78,6 +78,21 @@
   }
 }
 
+// Guards against two readings of one message, found by fuzzing: a line break before a message
+// turned off the check for bare line feeds in what arrived together with it.
+Test(message_reader, line_breaks_before_a_message_hide_no_bare_line_feed) {
+  cr_assert(fault_of("\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n") == read_fault::none);
+  cr_assert(fault_of("\r\nGET / HTTP/1.1\nHost: x\n\n") == read_fault::malformed);
+  cr_assert(fault_of("\nGET / HTTP/1.1\r\nHost: x\nA: b\r\n\r\n") == read_fault::malformed);
+  cr_assert(fault_of("\r\nHTTP/1.1 200 OK\nContent-Length: 0\n\n", message_kind::response) ==
+            read_fault::malformed);
+}
+
+// Guards against a connection that is never idle and never late: line breaks without end.
+Test(message_reader, line_breaks_before_a_message_count_as_header) {
+  cr_assert(fault_of(std::string(2000, '\n')) == read_fault::headers_too_large);
+}
+
 Test(message_reader, size_limits_are_enforced) {
   const std::string long_field =
       "GET / HTTP/1.1\r\nHost: x\r\nA: " + std::string(600, 'a') + "\r\n\r\n";
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -170,13 +170,29 @@
   return false;
 }
 
+// Line breaks between messages are allowed and are part of neither message.
+std::size_t message_reader::skip_line_breaks(std::string_view bytes) {
+  const std::size_t size = std::min(bytes.find_first_not_of("\r\n"), bytes.size());
+  header_bytes_ += size;
+  if (header_bytes_ > limits_.max_header_bytes) {
+    fail(read_fault::headers_too_large);
+  }
+  return size;
+}
+
 std::size_t message_reader::consume(std::string_view bytes) {
   std::size_t consumed = 0;
   while (consumed < bytes.size() && state_ == read_state::reading) {
+    if (!has_begun_) {
+      const std::size_t skipped = skip_line_breaks(bytes.substr(consumed));
+      consumed += skipped;
+      if (skipped > 0) {
+        continue;
+      }
+    }
+    has_begun_ = true;
     const std::string_view remaining = bytes.substr(consumed);
     const bool was_in_headers = !has_headers_;
-    // Line breaks between messages are allowed and are part of neither message.
-    has_begun_ = has_begun_ || (remaining.front() != '\r' && remaining.front() != '\n');
     const std::size_t parsed_size =
         http_parser_execute(&parser_, &callbacks::settings(), remaining.data(), remaining.size());
     consumed += parsed_size;
@@ -197,7 +213,7 @@
         fail(read_fault::headers_too_large);
         break;
       }
-      if (has_begun_ && has_bare_line_feed(remaining.substr(0, header_chunk_size))) {
+      if (has_bare_line_feed(remaining.substr(0, header_chunk_size))) {
         fail(read_fault::malformed);
         break;
       }
--- a/src/arbutuslb/runtime/http/message_reader.h
+++ b/src/arbutuslb/runtime/http/message_reader.h
@@ -80,6 +80,8 @@
   void release_body();
   void fail(read_fault fault);
   bool has_bare_line_feed(std::string_view bytes);
+  // Returns the number of bytes skipped.
+  std::size_t skip_line_breaks(std::string_view bytes);
   void finish_headers();
   void remove_hop_by_hop_fields();
 
