Fields behind a chunked body are dropped (found by fuzzing)

What could happen: fields behind the body of a request or an answer (trailers) were appended to its header after the header had been checked, and passed on: names with spaces, and names that the daemons take from headers. Ruled out: to check them as well; nothing that users have uses them.

--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -93,6 +93,18 @@
   cr_assert(fault_of(std::string(2000, '\n')) == read_fault::headers_too_large);
 }
 
+// Guards against fields that nobody has checked, found by fuzzing: those behind a chunked body were
+// passed on as header fields.
+Test(message_reader, fields_behind_a_body_are_dropped) {
+  message_reader reader(message_kind::request, small_limits);
+  reader.consume("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "1\r\na\r\n0\r\nHost W: y\r\nContent-Length: 9\r\nX-Calling-Service: z\r\n\r\n");
+  cr_assert(reader.state() == read_state::complete);
+  const core::http_request request = reader.take_request();
+  cr_assert_eq(request.headers.size(), 1);
+  cr_assert_eq(request.headers[0].first, "Host");
+}
+
 Test(message_reader, size_limits_are_enforced) {
   const std::string long_field =
       "GET / HTTP/1.1\r\nHost: x\r\nA: " + std::string(600, 'a') + "\r\n\r\n";
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -59,6 +59,9 @@
   }
   static int on_field(http_parser* parser, const char* at, std::size_t size) {
     message_reader& reader = reader_of(parser);
+    if (reader.has_headers_) {
+      return 0; // behind the body: dropped, as nothing there has been checked
+    }
     if (reader.headers_.empty() || reader.last_was_value_) {
       reader.headers_.emplace_back();
     }
@@ -68,6 +71,9 @@
   }
   static int on_value(http_parser* parser, const char* at, std::size_t size) {
     message_reader& reader = reader_of(parser);
+    if (reader.has_headers_) {
+      return 0;
+    }
     reader.last_was_value_ = true;
     reader.headers_.back().second.append(at, size);
     return 0;
--- a/src/arbutuslb/runtime/http/message_reader.h
+++ b/src/arbutuslb/runtime/http/message_reader.h
@@ -2,7 +2,7 @@
 //
 // Stricter than the underlying http_parser where two implementations could disagree about the end
 // of a message: lines must end with CR LF, and field names must be tokens. Removes hop-by-hop
-// header fields from the message.
+// header fields, and the fields behind a chunked body, from the message.
 //
 //   message_reader reader(message_kind::request, limits);
 //   std::size_t consumed = reader.consume(bytes);
