An answer whose status allows no body is passed on without one (found by fuzzing)

What callers could see: an upstream answers 204 or 304 with a length and a body; both were read, and the body was passed on without its length, so that the caller took it for the beginning of the next answer (MIXED). Change: such an answer ends with its header.

--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -124,6 +124,22 @@
   cr_assert_not_null(core::find_header(request.headers, "X-Kept"));
 }
 
+// Guards against bytes that the caller takes for the next answer, found by fuzzing: an answer whose
+// status allows no body had one, and it was passed on.
+Test(message_reader, an_answer_that_may_not_have_a_body_has_none) {
+  for (const char* status : {"204 No Content", "304 Not Modified"}) {
+    message_reader reader(message_kind::response, small_limits);
+    const std::string bytes =
+        "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 4\r\n\r\ndone";
+    cr_assert_eq(reader.consume(bytes), bytes.size() - 4);
+    cr_assert(reader.state() == read_state::complete);
+    core::http_response answer = reader.take_response();
+    cr_assert(answer.body.empty());
+    answer.body = "done";
+    cr_assert(serialize(answer, false).ends_with("\r\n\r\n"));
+  }
+}
+
 Test(message_reader, a_response_without_length_ends_with_the_stream_and_a_truncated_one_fails) {
   message_reader unframed(message_kind::response, small_limits);
   unframed.consume("HTTP/1.1 200 OK\r\nA: b\r\n\r\npart");
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -16,6 +16,11 @@
     "Connection", "Keep-Alive",       "Transfer-Encoding", "Content-Length",    "TE",
     "Trailer",    "Proxy-Connection", "Upgrade",           "Proxy-Authenticate"};
 
+bool may_have_body(int status) {
+  return status >= first_final_status && status != status_no_content &&
+         status != status_not_modified;
+}
+
 bool is_token(std::string_view text) {
   const auto is_token_character = [](unsigned char c) {
     return std::isalnum(c) != 0 ||
@@ -81,7 +86,9 @@
   static int on_headers_complete(http_parser* parser) {
     message_reader& reader = reader_of(parser);
     http_parser_pause(parser, 1);
-    return reader.has_no_body_ ? 1 : 0;
+    const bool has_no_body = reader.kind_ == message_kind::response &&
+                             (reader.has_no_body_ || !may_have_body(parser->status_code));
+    return has_no_body ? 1 : 0;
   }
   static int on_body(http_parser* parser, const char* at, std::size_t size) {
     message_reader& reader = reader_of(parser);
@@ -357,14 +364,15 @@
   output += http_status_str(static_cast<http_status>(response.status));
   output += "\r\n";
   append_headers(output, response.headers);
-  if (response.status != status_no_content && response.status != status_not_modified) {
+  const bool has_body = may_have_body(response.status);
+  if (has_body) {
     output += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
   }
   if (closes_connection) {
     output += "Connection: close\r\n";
   }
   output += "\r\n";
-  output += response.body;
+  output += has_body ? response.body : std::string{};
   return output;
 }
 
