--- a/src/arbutuslb/platform/store_client.h
+++ b/src/arbutuslb/platform/store_client.h
@@ -4,33 +4,13 @@
 // remains so, because the store may still apply it later.
 #pragma once
 
+#include "arbutuslb/platform/store_answers.h"
 #include "arbutuslb/runtime/http/client.h"
 
 #include <optional>
 
 namespace arbutuslb::platform {
 
-struct store_record {
-  std::uint64_t offset = 0;
-  std::string key;
-  std::string value; // empty: the key was removed
-};
-
-enum class read_status : std::uint8_t {
-  ok,
-  expired, // the requested records are no longer kept; read the newest of each key
-  failed
-};
-struct read_result {
-  read_status status = read_status::failed;
-  std::string reason; // why the read failed; empty unless `failed`
-  std::vector<store_record> records;
-  std::uint64_t end_offset = 0;  // of the log
-  std::uint64_t next_offset = 0; // after the last record that `read_from` has passed
-  // Rises each time the store comes back from an older copy of itself; zero if it states none.
-  std::uint64_t era = 0;
-};
-
 enum class append_status : std::uint8_t {
   appended,
   conflict, // the end offset of the log is not `expected_end`
