--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -20,6 +20,7 @@
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
+#include <concepts>
 #include <csignal>
 #include <malloc.h>
 #include <random>
@@ -84,13 +85,13 @@
         follower(
             loop, store, random_seed(),
             [this](platform::read_result records, bool is_complete) {
-              take_operator_records(std::move(records), is_complete);
+              guard([&] { take_operator_records(std::move(records), is_complete); });
             },
             [this](bool is_reachable, const std::string& reason) {
               write_event(is_reachable ? core::engine::severity::info
                                        : core::engine::severity::warning,
                           is_reachable ? "store_regained" : "store_lost", {{"reason", reason}});
-              handle(gateway::store_reachability_changed{is_reachable});
+              guard([&] { handle(gateway::store_reachability_changed{is_reachable}); });
             }),
         callers(loop, values.callers,
                 {[this](std::uint64_t token, core::http_request request) {
@@ -141,6 +142,22 @@
                 {{"edge", edge}, {"reason", reason}});
   }
 
+  // Runs a part of a loop that must go on whatever fails.
+  template <std::invocable Work>
+  void guard(Work work) {
+    try {
+      work();
+    } catch (const std::exception& error) {
+      log_failure(error);
+    }
+  }
+
+  // The event that failed is lost. If it was a request, its connection has been closed.
+  void log_failure(const std::exception& error) {
+    ++events_failed;
+    write_event(core::engine::severity::error, "event_failed", {{"reason", error.what()}});
+  }
+
   void log_dropped(const char* edge, const http::dropped_input& dropped) {
     ++inputs_dropped;
     write_event(core::engine::severity::info, "input_dropped",
@@ -496,7 +513,7 @@
       if (error) {
         return;
       }
-      receive_reports();
+      guard([this] { receive_reports(); });
       wait_for_reports();
     });
   }
@@ -529,7 +546,7 @@
       if (error) {
         return;
       }
-      on_tick();
+      guard([this] { on_tick(); });
       schedule_tick();
     });
   }
@@ -561,12 +578,14 @@
       if (error) {
         return;
       }
-      if (number == SIGHUP) {
-        reload();
-      } else {
-        callers.close_after_answers();
-        handle(gateway::stop_requested{});
-      }
+      guard([this, number] {
+        if (number == SIGHUP) {
+          reload();
+        } else {
+          callers.close_after_answers();
+          handle(gateway::stop_requested{});
+        }
+      });
       wait_for_signal();
     });
   }
@@ -583,7 +602,7 @@
 
   std::string render_metrics() const {
     return runtime::render_metrics(core.totals(), core.containment(), store.calls(), log.dropped(),
-                                   inputs_dropped);
+                                   inputs_dropped, events_failed);
   }
 
   gateway_host_settings settings;
@@ -609,6 +628,7 @@
   udp::socket reports;
   std::array<char, max_datagram_size> datagram{};
   std::map<std::uint64_t, std::pair<http::client*, std::uint64_t>> exchanges; // by attempt
+  std::uint64_t events_failed = 0;                                            // by an exception
   std::uint64_t inputs_dropped = 0; // connections closed over input that was not passed on
   std::uint64_t configured_version = 0;
   core::time_point last_sweep_at{};
@@ -627,9 +647,7 @@
     try {
       state_->loop.run();
     } catch (const std::exception& error) {
-      // The event that failed is lost; its connection ends by its time limit.
-      state_->write_event(core::engine::severity::error, "event_failed",
-                          {{"reason", error.what()}});
+      state_->log_failure(error);
     }
   }
 }
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -184,6 +184,39 @@
                               fixture.response("late")); // does nothing
 }
 
+// Guards against a caller that waits for ever: the handler of its request failed.
+Test(server, a_request_whose_handler_throws_closes_its_connection_only) {
+  asio::io_context loop;
+  const tcp::endpoint address = server_fixture::free_address();
+  int requests = 0;
+  server tested(loop, address,
+                {[&](std::uint64_t, const core::http_request& request) {
+                   ++requests;
+                   if (request.target == "/bad") {
+                     throw std::runtime_error("cannot be handled");
+                   }
+                 },
+                 [](std::uint64_t) {}});
+  tcp::socket bad(loop);
+  tcp::socket good(loop);
+  bad.connect(address);
+  good.connect(address);
+  asio::write(bad, asio::buffer(std::string("GET /bad HTTP/1.1\r\nHost: x\r\n\r\n")));
+  const auto run = [&] {
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds{100});
+  };
+  cr_assert_throw(run(), std::runtime_error);
+  asio::write(good, asio::buffer(std::string("GET /good HTTP/1.1\r\nHost: x\r\n\r\n")));
+  run();
+  cr_assert_eq(requests, 2);
+  cr_assert_eq(tested.connection_count(), 1);
+  std::array<char, 16> buffer{};
+  std::error_code end;
+  bad.read_some(asio::buffer(buffer), end);
+  cr_assert(static_cast<bool>(end));
+}
+
 Test(server, a_malformed_request_is_answered_in_order_and_nothing_after_it_is_passed_on) {
   server_fixture fixture;
   tcp::socket socket(fixture.loop);
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -280,7 +280,12 @@
     const std::uint64_t token = slot.token;
     slots_.push_back(std::move(slot));
     owner.connections_by_token.emplace(token, shared_from_this());
-    owner.handlers.on_request(token, reader_.take_request());
+    try {
+      owner.handlers.on_request(token, reader_.take_request());
+    } catch (...) {
+      close(); // nobody will answer the request
+      throw;
+    }
   }
 
   // Answers an unreadable or overdue request with an error status after all pending answers, then
--- a/src/arbutuslb/runtime/http/server.h
+++ b/src/arbutuslb/runtime/http/server.h
@@ -40,7 +40,7 @@
 
 struct server_handlers {
   // Called with each complete request, which must be answered by one `respond` with the same token
-  // unless the caller disconnects.
+  // unless the caller disconnects. An exception closes the connection, and leaves the event loop.
   std::function<void(std::uint64_t token, core::http_request request)> on_request;
   // Called if the connection is closed before its request was answered.
   std::function<void(std::uint64_t token)> on_disconnected;
