--- a/src/arbutuslb/fuzz/heartbeat_fuzzer.cc
+++ b/src/arbutuslb/fuzz/heartbeat_fuzzer.cc
@@ -7,6 +7,7 @@
 namespace platform = arbutuslb::platform;
 using arbutuslb::fuzz::require;
 
+// The engine defines the name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   constexpr const char* methods[] = {"PUT", "DELETE", "POST"};
   constexpr const char* targets[] = {"/instances/i-1", "/instances/i-2", "/instances/", "/"};
--- a/src/arbutuslb/fuzz/http_answer_fuzzer.cc
+++ b/src/arbutuslb/fuzz/http_answer_fuzzer.cc
@@ -46,6 +46,7 @@
 
 } // namespace
 
+// The engine defines the name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const std::string_view bytes = arbutuslb::fuzz::to_text(data, size);
   const outcome whole = read_all(bytes, std::max<std::size_t>(size, 1));
--- a/src/arbutuslb/fuzz/http_request_fuzzer.cc
+++ b/src/arbutuslb/fuzz/http_request_fuzzer.cc
@@ -45,6 +45,7 @@
 
 } // namespace
 
+// The engine defines the name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const std::string_view bytes = arbutuslb::fuzz::to_text(data, size);
   const outcome whole = read_all(bytes, std::max<std::size_t>(size, 1));
--- a/src/arbutuslb/fuzz/operator_record_fuzzer.cc
+++ b/src/arbutuslb/fuzz/operator_record_fuzzer.cc
@@ -7,6 +7,7 @@
 namespace gateway = arbutuslb::core::gateway;
 namespace platform = arbutuslb::platform;
 
+// The engine defines the name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   constexpr const char* keys[] = {"config",     "rollout/menu", "rollout/",
                                   "evacuate/a", "evacuate/",    "else"};
--- a/src/arbutuslb/fuzz/peer_message_fuzzer.cc
+++ b/src/arbutuslb/fuzz/peer_message_fuzzer.cc
@@ -75,6 +75,7 @@
 
 } // namespace
 
+// The engine defines the name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const auto [selector, bytes] =
       arbutuslb::fuzz::split_selector(arbutuslb::fuzz::to_text(data, size));
--- a/src/arbutuslb/fuzz/settings_fuzzer.cc
+++ b/src/arbutuslb/fuzz/settings_fuzzer.cc
@@ -4,6 +4,7 @@
 #include "arbutuslb/fuzz/fuzz_support.h"
 #include "arbutuslb/runtime/gateway_settings.h"
 
+// The engine defines the name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   try {
     arbutuslb::runtime::parse_gateway_settings(arbutuslb::fuzz::to_text(data, size));
--- a/src/arbutuslb/fuzz/store_answer_fuzzer.cc
+++ b/src/arbutuslb/fuzz/store_answer_fuzzer.cc
@@ -7,6 +7,7 @@
 namespace platform = arbutuslb::platform;
 using arbutuslb::fuzz::require;
 
+// The engine defines the name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const auto [selector, bytes] =
       arbutuslb::fuzz::split_selector(arbutuslb::fuzz::to_text(data, size));
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -197,6 +197,7 @@
   // Takes what the socket has received, as far as there is room. May be called while another
   // connection parses the shared buffer.
   void receive_now() {
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-member-init): only what was read is used
     std::array<char, small_read_buffer_size> buffer;
     receive(buffer);
   }
