--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -218,7 +218,7 @@
         return;
       }
       has_activity_ = true;
-      if (is_refusing_ || is_lingering_ || closes_after_slots_ || (is_stopped_ && !has_input())) {
+      if (is_refusing_ || is_lingering_ || closes_after_slots_) {
         dropped_bytes_ += size; // behind the last request to be answered
       } else if (pending_input_.empty()) {
         parse(std::string_view(buffer.data(), size));
@@ -316,7 +316,7 @@
     const std::shared_ptr<state> owner = owner_.lock();
     while (!slots_.empty() && slots_.front().is_ready && !closes_after_write_) {
       const bool is_stopping = is_stopped_ || (owner && owner->closes_after_answers);
-      if (is_stopping && !is_stopped_ && slots_.size() == 1) {
+      if (is_stopping && slots_.size() == 1) {
         receive_now();
         if (is_closed_) {
           break; // by the caller
@@ -405,7 +405,7 @@
   bool is_parsing_ = false;
   bool is_flushing_ = false;
   bool has_caller_left_ = false;
-  bool is_stopped_ = false; // no further request may begin
+  bool is_stopped_ = false; // closes when nothing is owed
   bool closes_after_write_ = false;
   bool closes_after_slots_ = false; // the caller sends no further request
   bool has_sent_continue_ = false;
--- a/src/arbutuslb/runtime/http/server.h
+++ b/src/arbutuslb/runtime/http/server.h
@@ -70,10 +70,11 @@
   // From now on, each connection is closed after an answer behind which the caller has sent no
   // further request.
   void close_after_answers();
-  // Accepts no further connections and reads no further requests, except for what callers have
-  // already sent. A request that has begun is read to its end. All of them may still be answered.
+  // Accepts no further connections, and closes those on which nothing has been received that is not
+  // answered. The others are read until their last answer, so that a request which is sent before
+  // it is answered as well.
   void stop_reading();
-  // Returns false after `stop_reading`, once every request that had begun has been passed on.
+  // Returns false after `stop_reading`, unless a request is being received.
   bool is_reading() const;
   std::size_t connection_count() const;
   // Returns true if a part of an answer has not been written to its connection, or if the caller
