--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -203,8 +203,8 @@
   rollout_phase phase = rollout_phase::running;
   log_position expected_end;
 };
-// Reads no further requests of callers, except those that have begun to arrive; `callers_drained`
-// follows. Those that were read are still answered.
+// Reads no further requests of callers, except those that have begun to arrive, and those on
+// connections that are owed an answer. `callers_drained` follows when none is arriving.
 struct stop_reading_callers {};
 // Exits once every answer has been written, at the latest at `exits_by`.
 struct exit_process {
--- a/src/arbutuslb/core/gateway/stop_plan.h
+++ b/src/arbutuslb/core/gateway/stop_plan.h
@@ -2,8 +2,8 @@
 // which the platform ends the process:
 //
 //   requested   callers are told to use other daemons; their requests are still read
-//   reads_until no request is read any more, unless executions at the local upstream are still in
-//               progress: they may send requests of their own
+//   reads_until requests are read only on connections that are owed an answer; if executions at the
+//               local upstream are still in progress, which may send requests of their own, later
 //   answers_by  no request is read any more, and every request has been answered
 //   exits_by    the process has exited, whether its answers have been read or not
 //
