Tests take addresses on a loopback host of their own

Cause: client::sent_and_unsent_requests_are_distinguished failed once beside other load. A test asks the system for a free port, closes it and listens there later; on 127.0.0.1 another test, which runs at the same time as a process of its own, can be given the same port in between. Change: each test process uses its own host in 127.64.0.0/10; one function in place of three copies.

--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -187,7 +187,7 @@
 // Guards against a caller that waits for ever: the handler of its request failed.
 Test(server, a_request_whose_handler_throws_closes_its_connection_only) {
   asio::io_context loop;
-  const tcp::endpoint address = server_fixture::free_address();
+  const tcp::endpoint address = arbutuslb::runtime::free_address();
   int requests = 0;
   server tested(loop, address,
                 {[&](std::uint64_t, const core::http_request& request) {
@@ -329,7 +329,7 @@
 // accepted again at once, and all processor time went into that.
 Test(server, an_accept_that_fails_is_repeated_after_a_while) {
   asio::io_context loop;
-  const tcp::endpoint address = server_fixture::free_address();
+  const tcp::endpoint address = arbutuslb::runtime::free_address();
   int failures = 0;
   int requests = 0;
   server tested(loop, address,
@@ -431,7 +431,7 @@
   std::vector<exchange_result> ends;
   core::http_request request = get_request("/1");
   const auto store_result = [&](exchange_result end) { ends.push_back(std::move(end)); };
-  sender.send(server_fixture::free_address(), request, {}, store_result);
+  sender.send(arbutuslb::runtime::free_address(), request, {}, store_result);
   fixture.run_until([&] { return ends.size() == 1; });
   cr_assert(ends[0].outcome == exchange_outcome::not_connected);
   sender.send(fixture.address, request, {}, store_result);
@@ -506,7 +506,7 @@
   client sender(fixture.loop);
   std::vector<connect_outcome> ends;
   const auto store_outcome = [&](connect_outcome end) { ends.push_back(end); };
-  sender.connect(server_fixture::free_address(), 1s, store_outcome);
+  sender.connect(arbutuslb::runtime::free_address(), 1s, store_outcome);
   fixture.run_until([&] { return ends.size() == 1; });
   cr_assert(ends[0] == connect_outcome::refused);
   sender.connect(fixture.address, 1s, store_outcome);
--- a/src/arbutuslb/runtime/http/http_test_fixture.h
+++ b/src/arbutuslb/runtime/http/http_test_fixture.h
@@ -4,6 +4,7 @@
 
 #include "arbutuslb/runtime/http/client.h"
 #include "arbutuslb/runtime/http/server.h"
+#include "arbutuslb/runtime/test_address.h"
 
 #include <asio/io_context.hpp>
 #include <asio/write.hpp>
@@ -37,11 +38,6 @@
                       },
                       [this](std::uint64_t token) { disconnected.push_back(token); }}};
 
-  static tcp::endpoint free_address() {
-    asio::io_context probe;
-    tcp::acceptor acceptor(probe, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint();
-  }
   // Runs the loop until the condition holds.
   void run_until(const std::function<bool()>& condition) {
     while (!condition()) {
--- a/src/arbutuslb/runtime/http/server_stop_test.cc
+++ b/src/arbutuslb/runtime/http/server_stop_test.cc
@@ -111,7 +111,7 @@
 // behind it.
 Test(server_stop, requests_that_are_answered_at_once_are_all_answered) {
   asio::io_context loop;
-  const tcp::endpoint address = server_fixture::free_address();
+  const tcp::endpoint address = arbutuslb::runtime::free_address();
   int requests = 0;
   server* tested = nullptr;
   server value(loop, address,
--- a/src/arbutuslb/runtime/member_registry_test.cc
+++ b/src/arbutuslb/runtime/member_registry_test.cc
@@ -66,7 +66,7 @@
 // connection that had gone silent, and the departure was acknowledged meanwhile.
 Test(member_registry, a_departure_is_recorded_although_open_connections_are_silent) {
   store_fixture fixture;
-  const asio::ip::tcp::endpoint address = fixture.free_address();
+  const asio::ip::tcp::endpoint address = arbutuslb::runtime::free_address();
   arbutuslb::soak::link_proxy link(fixture.loop, address, fixture.address);
   // Without checks of time limits, which would give up the silent connection.
   arbutuslb::runtime::http::client connections(fixture.loop);
--- a/src/arbutuslb/runtime/store_test_support.h
+++ b/src/arbutuslb/runtime/store_test_support.h
@@ -4,6 +4,7 @@
 #include "arbutuslb/fakes/platform_store.h"
 #include "arbutuslb/platform/store_client.h"
 #include "arbutuslb/runtime/clock.h"
+#include "arbutuslb/runtime/test_address.h"
 
 #include <asio/ip/tcp.hpp>
 #include <functional>
@@ -32,11 +33,6 @@
   fakes::platform_store store;
   http::client connections;
   platform::store_client client;
-
-  asio::ip::tcp::endpoint free_address() {
-    asio::ip::tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
-    return probe.local_endpoint();
-  }
 };
 
 } // namespace arbutuslb::runtime
