Settings: a deployment may leave out each bound and limit

Cause: on the two new deployments no process started ('line 16 column 25: malformed JSON'): their sheets have no bounds for cold upstreams, and the template had no value for cold_load_factor and cold_load_extra. Change: the template writes null for each bound and limit that a deployment may leave out; a null member counts as missing, so that the daemon's default holds. A service without a rate for cold upstreams has no such limit also in the first second of a process. Ruled out: defaults in the template, which would stand in two places.

--- a/src/arbutuslb/core/base/object_reader.cc
+++ b/src/arbutuslb/core/base/object_reader.cc
@@ -133,13 +133,14 @@
 
 bool object_reader::has(std::string_view key) {
   requested_keys_.emplace_back(key);
-  return value_.contains(key);
+  const json::const_iterator found = value_.find(key);
+  return found != value_.end() && !found->is_null();
 }
 
 const json* object_reader::find(std::string_view key) {
   requested_keys_.emplace_back(key);
   const json::const_iterator found = value_.find(key);
-  return found == value_.end() ? nullptr : &*found;
+  return found == value_.end() || found->is_null() ? nullptr : &*found;
 }
 
 const json* object_reader::find_required(std::string_view key) {
--- a/src/arbutuslb/core/base/object_reader.h
+++ b/src/arbutuslb/core/base/object_reader.h
@@ -1,8 +1,9 @@
 // Reads a JSON object member by member and collects findings with their place.
 //
-// Unknown keys become findings that suggest the nearest known key. Values of the wrong type or out
-// of range become findings, and the reader returns the fallback, so that one pass reports all
-// faults.
+// A member that is null counts as missing: templates of settings write null where they have no
+// value. Unknown keys become findings that suggest the nearest known key. Values of the wrong type
+// or out of range become findings, and the reader returns the fallback, so that one pass reports
+// all faults.
 //
 //   object_reader reader(json, "services[0]", findings);
 //   std::string name = reader.required_name("name");
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -231,8 +231,8 @@
   }
   const service_policy* policy =
       shared_.operator_records.configuration()->find_service(upstream->service);
-  if (policy == nullptr) {
-    return 0;
+  if (policy == nullptr || policy->cold_rate <= 0) {
+    return 0; // the deployment states no rate for cold upstreams
   }
   const double extra = usable_extra_fraction * shared_.settings.cold_load_extra;
   // A process that has just started does not know how much the previous one sent to an upstream
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -8,6 +8,7 @@
 #include "arbutuslb/runtime/gateway_settings.h"
 #include "arbutuslb/runtime/http/server.h"
 #include "arbutuslb/runtime/settings.h"
+#include "arbutuslb/runtime/test_address.h"
 #include "arbutuslb/runtime/wire/gateway_codec.h"
 
 #include <asio/io_context.hpp>
@@ -310,9 +311,7 @@
 // The server gives each request the answer that is set in `next`.
 Test(store_client, append_statuses_and_records_are_decoded) {
   asio::io_context loop;
-  asio::ip::tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
-  const asio::ip::tcp::endpoint address = probe.local_endpoint();
-  probe.close();
+  const asio::ip::tcp::endpoint address = arbutuslb::runtime::free_address();
   core::http_response next;
   http::server* store = nullptr;
   http::server served(
@@ -374,7 +373,7 @@
 // A store on loopback that gives the answers of a list, in order, and a client of it.
 struct scripted_store {
   explicit scripted_store(std::vector<core::http_response> script)
-      : address(free_address()), answers(std::move(script)),
+      : address(arbutuslb::runtime::free_address()), answers(std::move(script)),
         server(loop, address,
                {[this](std::uint64_t token, const core::http_request& request) {
                   targets.push_back(request.target);
@@ -392,10 +391,6 @@
     }
     return std::move(*read);
   }
-  asio::ip::tcp::endpoint free_address() {
-    asio::ip::tcp::acceptor probe(loop, {asio::ip::address_v4::loopback(), 0});
-    return probe.local_endpoint();
-  }
 
   asio::io_context loop;
   asio::ip::tcp::endpoint address;
