--- a/src/arbutuslb/bench/bench.h
+++ b/src/arbutuslb/bench/bench.h
@@ -39,6 +39,7 @@
 }
 
 void run_config_benchmarks(const run_options& options);
+void run_organisation_benchmarks(const run_options& options);
 void run_routing_benchmarks(const run_options& options);
 void run_service_benchmarks(const run_options& options);
 void run_move_benchmarks(const run_options& options);
--- a/src/arbutuslb/bench/main.cc
+++ b/src/arbutuslb/bench/main.cc
@@ -37,9 +37,13 @@
 int main(int argc, char** argv) {
   using namespace arbutuslb::bench;
   const std::map<std::string, void (*)(const run_options&)> benchmarks{
-      {"config", run_config_benchmarks},   {"routing", run_routing_benchmarks},
-      {"service", run_service_benchmarks}, {"moves", run_move_benchmarks},
-      {"calls", run_call_benchmarks},      {"fleet", run_fleet_benchmarks}};
+      {"config", run_config_benchmarks},
+      {"routing", run_routing_benchmarks},
+      {"service", run_service_benchmarks},
+      {"moves", run_move_benchmarks},
+      {"calls", run_call_benchmarks},
+      {"fleet", run_fleet_benchmarks},
+      {"organisations", run_organisation_benchmarks}};
   run_options options;
   std::vector<std::string> selected;
   for (int i = 1; i < argc; ++i) {
@@ -49,7 +53,8 @@
     } else if (benchmarks.contains(argument)) {
       selected.push_back(argument);
     } else {
-      std::cerr << "usage: arbutuslb_bench [--quick] [config|routing|service|moves|calls|fleet]\n";
+      std::cerr << "usage: arbutuslb_bench [--quick] "
+                   "[config|routing|service|moves|calls|fleet|organisations]\n";
       return 2;
     }
   }
--- a/src/arbutuslb/core/gateway/calls.h
+++ b/src/arbutuslb/core/gateway/calls.h
@@ -12,12 +12,15 @@
 namespace arbutuslb::core::gateway {
 
 // A request as received from a caller. `message` is forwarded unchanged; its headers exclude
-// hop-by-hop headers and headers that the daemons set themselves.
+// hop-by-hop headers, the caller's credential and headers that the daemons set themselves.
 struct call {
   std::string attempt_id; // set by the caller, unique for each of its attempts
   std::string host;
   http_request message;
   duration time_left{}; // until the caller's deadline; zero if the caller stated none
+  // Key of an organisation that the caller presented; empty if none. Never leaves the daemon that
+  // received the request.
+  std::string credential;
 };
 
 // A request that a daemon sends to the daemon of the chosen upstream.
@@ -25,6 +28,7 @@
   call content;
   std::string instance_id;    // the chosen upstream
   std::string caller_service; // service of the instance that received the request
+  std::string organisation;   // of the caller, as found by its key; empty if none
   std::string route;
   int rank = 0; // priority, 0 is the most urgent
   bool is_idempotent = false;
--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -39,10 +39,11 @@
 struct gateway_statistics {
   std::uint64_t calls = 0;
   std::uint64_t answered = 0;
-  std::uint64_t refused = 0;   // answered as not executed
-  std::uint64_t unknown = 0;   // answered with an unknown outcome
-  std::uint64_t given_up = 0;  // of these, while an attempt had not completed
-  std::uint64_t not_found = 0; // no route matched
+  std::uint64_t refused = 0;      // answered as not executed
+  std::uint64_t unknown = 0;      // answered with an unknown outcome
+  std::uint64_t given_up = 0;     // of these, while an attempt had not completed
+  std::uint64_t not_found = 0;    // no route matched
+  std::uint64_t unauthorized = 0; // without the key of an organisation
   std::uint64_t callers_disconnected = 0;
   std::uint64_t repeats = 0; // retries after an attempt that may have reached an upstream
   std::uint64_t runs = 0;    // requests sent to the local upstream
--- a/src/arbutuslb/core/gateway/mesh_configuration.h
+++ b/src/arbutuslb/core/gateway/mesh_configuration.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "arbutuslb/core/base/time.h"
+#include "arbutuslb/core/gateway/organisation_table.h"
 
 #include <cstdint>
 #include <map>
@@ -27,6 +28,7 @@
   duration target_latency{}; // an answer within it has its full value to the caller
   int rank = 0;              // priority, 0 is the most urgent
   int max_upstreams = 1;     // maximum number of upstreams that may receive one request
+  bool is_public = false;    // needs no key of an organisation
   std::vector<weighted_service> split;
 };
 
@@ -52,6 +54,8 @@
   std::map<std::string, std::map<std::string, route_policy, std::less<>>, std::less<>> routes;
   std::map<std::string, service_policy, std::less<>> services;
   caller_limits limits;
+  // Set if callers must present the key of an organisation, except on public routes.
+  std::optional<organisation_table> organisations;
 
   // Returns the route of `host` with the longest prefix of the path of `target`, or nullptr if
   // there is none. `host` may contain a port and upper-case letters. O(segments * log routes).
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -8,6 +8,7 @@
 namespace arbutuslb::core::gateway {
 namespace {
 
+constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -60,6 +61,12 @@
                        duration::zero());
     return;
   }
+  if (!identify_caller(incoming)) {
+    ++shared_.totals.unauthorized;
+    finish_with_status(incoming, status_unauthorized, "unknown key of an organisation",
+                       duration::zero());
+    return;
+  }
   const duration requested_time = incoming.content.time_left > duration::zero()
                                       ? incoming.content.time_left
                                       : incoming.route->timeout;
@@ -90,6 +97,21 @@
   dispatch(std::move(incoming));
 }
 
+bool request_router::identify_caller(pending_call& pending) {
+  pending.rank = pending.route->rank;
+  const std::string credential = std::exchange(pending.content.credential, {});
+  if (!pending.configuration->organisations) {
+    return true;
+  }
+  const organisation_policy* const caller = pending.configuration->organisations->find(credential);
+  if (caller == nullptr) {
+    return pending.route->is_public;
+  }
+  pending.organisation = caller->name;
+  pending.rank = caller->rank.value_or(pending.rank);
+  return true;
+}
+
 time_point request_router::latest_answer(const pending_call& pending) const {
   return shared_.is_stopping
              ? std::min(pending.deadline, shared_.stop.answers_by - answer_grace_period)
@@ -111,7 +133,7 @@
   query.route_hash = static_cast<std::uint32_t>(hash_bytes(pending.route->name));
   query.target_latency = pending.route->target_latency;
   query.tried = pending.tried;
-  query.rank = pending.route->rank;
+  query.rank = pending.rank;
   const auto size = mean_sizes_.find(pending.route->name);
   query.size = size == mean_sizes_.end() ? pending.content.message.body.size()
                                          : static_cast<std::size_t>(size->second);
@@ -184,7 +206,8 @@
   request.caller_service =
       local_upstream != nullptr ? local_upstream->service : shared_.settings.service;
   request.route = pending.route->name;
-  request.rank = pending.route->rank;
+  request.organisation = pending.organisation;
+  request.rank = pending.rank;
   request.is_idempotent = pending.route->is_idempotent;
   request.time_left = latest_answer(pending) - shared_.now;
   request.target_time_left = pending.received_at + pending.route->target_latency - shared_.now;
@@ -248,7 +271,7 @@
     shared_.directory.on_load(host, end.result.in_flight, end.result.waiting, shared_.now);
   }
   if (end.result.outcome == run_outcome::not_executed && !end.is_unreachable) {
-    shared_.directory.on_refused(host, pending.route->rank, shared_.now + refusal_exclusion_time,
+    shared_.directory.on_refused(host, pending.rank, shared_.now + refusal_exclusion_time,
                                  shared_.now);
   }
   if (end.result.notice) {
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -64,6 +64,8 @@
     std::shared_ptr<const mesh_configuration> configuration; // owns `route`
     const route_policy* route = nullptr;
     std::string service;
+    std::string organisation; // of the caller; empty if none
+    int rank = 0;             // of the organisation, or else of the route
     bool uses_new_version = false;
     int rollout_share_permille = -1;
     time_point received_at{};
@@ -88,6 +90,9 @@
   time_point latest_answer(const pending_call& pending) const;
   // Returns true if the request cannot be expected to complete before this daemon exits.
   bool outlasts_stop(const pending_call& pending) const;
+  // Sets the organisation and the rank by the key that the caller presented. Returns false if the
+  // route requires a key and the configuration does not have it.
+  static bool identify_caller(pending_call& pending);
   void dispatch(pending_call pending);
   // Answers a request that crashes its upstreams.
   void refuse_suspect(const pending_call& pending);
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -431,6 +431,9 @@
   }
   ++runs[action.request.content.attempt_id];
   run_versions[action.request.content.attempt_id] = upstream.version;
+  gateway::run_request& recorded = run_requests[action.request.content.attempt_id];
+  recorded = action.request;
+  recorded.content.message.body.clear();
   nodes_[index].executing.insert(attempt);
   most_running[index] = std::max(most_running[index], ++running_now[index]);
   starts[index].push_back(now_);
@@ -512,7 +515,8 @@
 }
 
 std::uint64_t gateway_fleet::call(std::size_t index, const std::string& host,
-                                  const std::string& target, bool is_get, duration time_left) {
+                                  const std::string& target, bool is_get, duration time_left,
+                                  const std::string& credential) {
   gateway::call_received received;
   received.token = ++last_token_;
   received.content.attempt_id = "attempt-" + std::to_string(received.token);
@@ -520,6 +524,7 @@
   received.content.message.method = is_get ? "GET" : "POST";
   received.content.message.target = target;
   received.content.time_left = time_left;
+  received.content.credential = credential;
   const std::uint64_t token = received.token;
   handle(index, std::move(received));
   return token;
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -63,8 +63,8 @@
   // Sends a request of a local caller to daemon `index`. Returns its token; the answer appears in
   // `answers`.
   std::uint64_t call(std::size_t index, const std::string& host, const std::string& target,
-                     bool is_get = true,
-                     core::duration time_left = std::chrono::milliseconds{2000});
+                     bool is_get = true, core::duration time_left = std::chrono::milliseconds{2000},
+                     const std::string& credential = "");
   // Disconnects the caller of a request.
   void leave(std::size_t index, std::uint64_t token);
   // Returns the latest heartbeat of the daemon's upstream, for tests that send it again, late or
@@ -89,8 +89,10 @@
   std::map<std::uint64_t, core::http_response> answers; // by token
   std::set<std::uint64_t> acknowledged;                 // tokens of heartbeats
   std::set<std::string> unanswered;                     // attempt ids that an upstream ignored
-  std::map<std::string, int> runs;                   // executions by attempt id, at all upstreams
-  std::map<std::string, std::string> run_versions;   // executing version, by attempt id
+  std::map<std::string, int> runs;                 // executions by attempt id, at all upstreams
+  std::map<std::string, std::string> run_versions; // executing version, by attempt id
+  // Requests as they were sent to an upstream, by attempt id; without their bodies.
+  std::map<std::string, core::gateway::run_request> run_requests;
   std::vector<std::size_t> running_now;              // current executions, by daemon
   std::vector<std::size_t> most_running;             // highest concurrency so far, by daemon
   std::vector<std::vector<core::time_point>> starts; // start times of executions, by daemon
--- a/src/arbutuslb/platform/orders.cc
+++ b/src/arbutuslb/platform/orders.cc
@@ -2,6 +2,7 @@
 
 #include "arbutuslb/core/base/object_reader.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace arbutuslb::platform {
@@ -76,6 +77,7 @@
   route.target_latency = reader.required_duration("targetLatency");
   route.rank = static_cast<int>(reader.optional_integer("priority", 0, 0, max_rank));
   route.max_upstreams = static_cast<int>(reader.optional_integer("attempts", 1, 1, max_attempts));
+  route.is_public = reader.optional_boolean("public", false);
   route.split = read_split(reader, value, findings);
   return route;
 }
@@ -93,6 +95,30 @@
   return service;
 }
 
+gateway::organisation_table read_organisations(const json& source, finding_list& findings) {
+  gateway::organisation_table table;
+  const std::string place = "tenants";
+  if (!source.is_object()) {
+    findings.add(place, "expected an object");
+    return table;
+  }
+  for (const auto& [name, value] : source.items()) {
+    object_reader reader(value, place + "." + name, findings);
+    gateway::organisation_policy organisation;
+    organisation.name = name;
+    if (reader.has("priority")) {
+      organisation.rank = static_cast<int>(reader.required_integer("priority", 0, max_rank));
+    }
+    const std::vector<std::string> keys = reader.optional_strings("apiKeys");
+    // An empty key would let callers in that present none.
+    const bool has_empty_key = std::find(keys.begin(), keys.end(), "") != keys.end();
+    if (has_empty_key || !table.add(std::move(organisation), keys)) {
+      findings.add(reader.place_of("apiKeys"), "a key is empty or another organisation holds it");
+    }
+  }
+  return table;
+}
+
 gateway::caller_limits read_limits(object_reader& parent, finding_list& findings) {
   const object_reader::element source = parent.optional_object("limits");
   object_reader reader(*source.value, source.place, findings);
@@ -175,6 +201,10 @@
     configuration.routes[std::move(host)].emplace(std::move(prefix), std::move(route));
   }
   configuration.limits = read_limits(reader, findings);
+  // Also if it is null: a configuration that names organisations must not be open to all.
+  if (parsed.contains("tenants")) {
+    configuration.organisations = read_organisations(parsed.at("tenants"), findings);
+  }
   check_service_references(configuration, findings);
   findings.throw_if_any();
   return configuration;
--- a/src/arbutuslb/runtime/gateway_metrics.cc
+++ b/src/arbutuslb/runtime/gateway_metrics.cc
@@ -21,6 +21,7 @@
   write_counter(out, "calls_unknown_total", totals.unknown);
   write_counter(out, "calls_given_up_total", totals.given_up);
   write_counter(out, "calls_without_route_total", totals.not_found);
+  write_counter(out, "calls_unauthorized_total", totals.unauthorized);
   write_counter(out, "callers_left_total", totals.callers_disconnected);
   write_counter(out, "repeats_total", totals.repeats);
   write_counter(out, "runs_total", totals.runs);
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -90,6 +90,7 @@
   out.set_body(value.content.message.body);
   out.set_instance_id(value.instance_id);
   out.set_caller_service(value.caller_service);
+  out.set_organisation(value.organisation);
   out.set_route(value.route);
   out.set_rank(static_cast<std::uint32_t>(value.rank));
   out.set_is_idempotent(value.is_idempotent);
@@ -117,6 +118,7 @@
   value.content.message.body = in.body();
   value.instance_id = in.instance_id();
   value.caller_service = in.caller_service();
+  value.organisation = in.organisation();
   value.route = in.route();
   value.rank = static_cast<int>(in.rank());
   value.is_idempotent = in.is_idempotent();
