--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -48,6 +48,7 @@
   std::uint64_t repeats = 0; // retries after an attempt that may have reached an upstream
   std::uint64_t runs = 0;    // requests sent to the local upstream
   std::uint64_t runs_refused = 0;
+  std::uint64_t runs_displaced = 0;  // of these, queued before requests of other organisations
   std::uint64_t upstream_deaths = 0; // deaths of the local upstream that interrupted requests
   std::uint64_t suspicions = 0;      // raised by them
   std::uint64_t suspicions_cleared = 0;
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -438,6 +438,9 @@
       {"ms", std::to_string(to_milliseconds(shared_.now - pending.received_at))},
       {"offers", std::to_string(pending.attempts)},
       {"config", pending.configuration ? std::to_string(pending.configuration->version) : "none"}};
+  if (!pending.organisation.empty()) {
+    fields.emplace_back("organisation", pending.organisation);
+  }
   if (!reason.empty()) {
     fields.emplace_back("reason", reason);
   }
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -78,14 +78,23 @@
   update_limits();
   const execution& value = executions_.at(token);
   const int rank = value.request.rank;
-  switch (queue_.submit({token, rank, value.start_by}, shared_.now)) {
+  const std::string organisation = value.request.organisation;
+  const queued_run waiting{token, rank, value.start_by, organisation,
+                           route_mean(value.request.route)};
+  switch (queue_.submit(waiting, shared_.now)) {
   case admission_verdict::run:
     start(token);
     break;
   case admission_verdict::queued:
+    if (const std::optional<std::uint64_t> displaced = queue_.take_displaced(rank, shared_.now)) {
+      ++shared_.totals.runs_displaced;
+      const std::string owner = executions_.at(*displaced).request.organisation;
+      withdraw(*displaced, "displaced by other organisations",
+               queue_.expected_wait(rank, owner, shared_.now));
+    }
     break;
   case admission_verdict::refused:
-    withdraw(token, "upstream is full", queue_.expected_wait(rank, shared_.now));
+    withdraw(token, "upstream is full", queue_.expected_wait(rank, organisation, shared_.now));
     break;
   }
 }
@@ -364,14 +373,18 @@
   result.reason = reason;
   result.retry_after = std::max<duration>(retry_after, min_retry_after);
   result.is_behind_suspect = refused.is_behind_suspect;
-  shared_.write(engine::severity::info, "run_refused",
-                {{"id", refused.request.content.attempt_id},
-                 {"route", refused.request.route},
-                 {"rank", std::to_string(refused.request.rank)},
-                 {"reason", reason},
-                 {"in_flight", std::to_string(queue_.in_flight())},
-                 {"waiting", std::to_string(queue_.waiting())},
-                 {"limit", std::to_string(queue_.limit())}});
+  std::vector<std::pair<std::string, std::string>> fields{
+      {"id", refused.request.content.attempt_id},
+      {"route", refused.request.route},
+      {"rank", std::to_string(refused.request.rank)},
+      {"reason", reason},
+      {"in_flight", std::to_string(queue_.in_flight())},
+      {"waiting", std::to_string(queue_.waiting())},
+      {"limit", std::to_string(queue_.limit())}};
+  if (!refused.request.organisation.empty()) {
+    fields.emplace_back("organisation", refused.request.organisation);
+  }
+  shared_.write(engine::severity::info, "run_refused", std::move(fields));
   reply(refused, std::move(result));
 }
 
@@ -449,8 +462,10 @@
 
 void upstream_gate::on_tick() {
   for (const std::uint64_t token : queue_.take_expired(shared_.now)) {
-    const int rank = executions_.at(token).request.rank;
-    withdraw(token, "no slot became free in time", queue_.expected_wait(rank, shared_.now));
+    const run_request& request = executions_.at(token).request;
+    const duration retry_after =
+        queue_.expected_wait(request.rank, request.organisation, shared_.now);
+    withdraw(token, "no slot became free in time", retry_after);
   }
   for (const std::uint64_t token : std::exchange(held_suspects_, {})) {
     if (executions_.at(token).start_by <= shared_.now) {
--- a/src/arbutuslb/runtime/gateway_metrics.cc
+++ b/src/arbutuslb/runtime/gateway_metrics.cc
@@ -26,6 +26,7 @@
   write_counter(out, "repeats_total", totals.repeats);
   write_counter(out, "runs_total", totals.runs);
   write_counter(out, "runs_refused_total", totals.runs_refused);
+  write_counter(out, "runs_displaced_total", totals.runs_displaced);
   write_counter(out, "upstream_deaths_total", totals.upstream_deaths);
   write_counter(out, "suspicions_total", totals.suspicions);
   write_counter(out, "suspicions_cleared_total", totals.suspicions_cleared);
