--- a/src/arbutuslb/core/gateway/events.h
+++ b/src/arbutuslb/core/gateway/events.h
@@ -1,6 +1,7 @@
 // Events that `gateway_core::handle` takes, and actions that it returns.
 #pragma once
 
+#include "arbutuslb/core/duties/usage_duty.h"
 #include "arbutuslb/core/engine/actions.h"
 #include "arbutuslb/core/gateway/calls.h"
 #include "arbutuslb/core/gateway/operator_state.h"
@@ -16,7 +17,11 @@
 // --- events ---
 
 // Advances the time. Expected about every `tick_period`.
-struct tick {};
+struct tick {
+  // Time for which the process has been suspended since its start; the clock of the core does not
+  // count it.
+  duration suspended{};
+};
 inline constexpr std::chrono::milliseconds tick_period{20};
 
 // A caller's request has been read completely. Answered by one `answer_caller`.
@@ -119,17 +124,33 @@
   bool is_recorded = false;
   std::uint64_t era = 0; // of the store when it accepted the record
 };
+// Completes `duties::read_usage_log`; without a state if the log could not be read.
+struct usage_log_read {
+  std::optional<duties::usage_log_state> state;
+  duration suspended{}; // as in `tick`
+};
+// Completes `duties::append_usage_record`.
+struct usage_appended {
+  duties::append_outcome outcome = duties::append_outcome::unknown;
+  std::uint64_t era = 0; // of the store when it answered
+  duration suspended{};  // as in `tick`
+};
+// Completes `duties::post_usage`.
+struct usage_posted {
+  duties::post_outcome outcome = duties::post_outcome::unknown;
+};
 struct stop_requested {};
 
 // After `stop_reading_callers`, every request that had begun to arrive has been received.
 struct callers_drained {};
 
-using event = std::variant<tick, call_received, caller_disconnected, run_requested,
-                           peer_disconnected, attempt_written, attempt_completed, upstream_probed,
-                           heartbeat_received, deregistration_received, operator_records_received,
-                           reports_received, store_reachability_changed, peers_discovered,
-                           departure_recorded, suspicions_recorded, outcomes_read, outcome_recorded,
-                           stop_requested, callers_drained>;
+using event =
+    std::variant<tick, call_received, caller_disconnected, run_requested, peer_disconnected,
+                 attempt_written, attempt_completed, upstream_probed, heartbeat_received,
+                 deregistration_received, operator_records_received, reports_received,
+                 store_reachability_changed, peers_discovered, departure_recorded,
+                 suspicions_recorded, outcomes_read, outcome_recorded, usage_log_read,
+                 usage_appended, usage_posted, stop_requested, callers_drained>;
 
 // --- actions ---
 
@@ -211,10 +232,11 @@
   time_point exits_by{};
 };
 
-using action = std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream,
-                            probe_upstream, cancel_attempt, acknowledge_heartbeat, send_reports,
-                            follow_operator_log, fetch_operator_records, discover_peers,
-                            record_departure, record_suspicions, read_outcomes, record_outcome,
-                            engine::write_event, stop_reading_callers, exit_process>;
+using action =
+    std::variant<answer_caller, answer_peer, send_to_peer, send_to_upstream, probe_upstream,
+                 cancel_attempt, acknowledge_heartbeat, send_reports, follow_operator_log,
+                 fetch_operator_records, discover_peers, record_departure, record_suspicions,
+                 read_outcomes, record_outcome, duties::read_usage_log, duties::append_usage_record,
+                 duties::post_usage, engine::write_event, stop_reading_callers, exit_process>;
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -31,6 +31,7 @@
   double exposure_share = 0.1;
   double exposure_extra = 50;
   int capacity_weight = 1; // capacity relative to the weakest instance; used to assign roles
+  duties::usage_settings usage;
   // Time within which a planned stop completes.
   duration grace_period = std::chrono::seconds{6};
 };
@@ -57,6 +58,8 @@
   std::uint64_t reports_sent = 0;
   std::uint64_t reports_received = 0;
   std::uint64_t heartbeats_refused = 0;
+  std::uint64_t usage_reports = 0;  // accepted by the platform
+  std::uint64_t usage_failures = 0; // reports that the platform has not accepted
 };
 
 struct gateway_context {
@@ -73,15 +76,24 @@
     actions.emplace_back(engine::write_event{level, std::move(name), std::move(fields)});
   }
   std::uint64_t next_id() { return ++last_id; }
+  // Time of day by the clock of the instance as it was when the process started.
+  time_point own_clock() const { return now + suspended; }
 
   const gateway_settings settings;
   operator_state operator_records;
   peer_directory directory;
   upstream_registry registry;
   crash_containment containment;
+  // Executions at the local upstream that are to be counted as usage of an organisation.
+  struct usage_start {
+    std::string organisation;
+    time_point started{};
+  };
+  std::vector<usage_start> usage_starts;
   random_source random;
   const time_point started; // start of this process
   time_point now;           // time of the current event
+  duration suspended{};     // of the process since its start, as of the last tick
   std::uint64_t process_epoch;
   std::uint64_t last_id = 0;
   bool is_stopping = false;
--- a/src/arbutuslb/core/gateway/gateway_core.cc
+++ b/src/arbutuslb/core/gateway/gateway_core.cc
@@ -79,7 +79,7 @@
 
 struct gateway_core::event_handler {
   gateway_core& core;
-  void operator()(const tick&) const { core.on_tick(); }
+  void operator()(const tick& value) const { core.on_tick(value.suspended); }
   void operator()(call_received& value) const { core.router_.on_call(std::move(value)); }
   void operator()(const caller_disconnected& value) const {
     core.router_.on_caller_disconnected(value.token);
@@ -114,13 +114,16 @@
   void operator()(const suspicions_recorded& value) const { core.on_suspicions_recorded(value); }
   void operator()(const outcomes_read& value) const { core.rollouts_.on_outcomes(value); }
   void operator()(const outcome_recorded& value) const { core.rollouts_.on_recorded(value); }
+  void operator()(usage_log_read& value) const { core.usage_.on_log_read(std::move(value)); }
+  void operator()(const usage_appended& value) const { core.usage_.on_appended(value); }
+  void operator()(const usage_posted& value) const { core.usage_.on_posted(value); }
   void operator()(const stop_requested&) const { core.begin_stopping(); }
   void operator()(const callers_drained&) const { core.are_callers_drained_ = true; }
 };
 
 gateway_core::gateway_core(gateway_settings settings, std::uint64_t seed, time_point now)
     : shared_(std::move(settings), seed, now), rollouts_(shared_), gate_(shared_, rollouts_),
-      router_(shared_, rollouts_) {
+      router_(shared_, rollouts_), usage_(shared_) {
   next_discovery_ = now;
   shared_.registry.set_unusable_until(now + departure_read_timeout);
   reader_role_updated_at_ = now + initial_reader_delay;
@@ -159,7 +162,8 @@
   return !shared_.is_stopping && shared_.operator_records.configuration() != nullptr;
 }
 
-void gateway_core::on_tick() {
+void gateway_core::on_tick(duration suspended) {
+  shared_.suspended = suspended;
   const bool is_usable = shared_.registry.is_usable(shared_.now);
   if (is_usable != was_usable_) {
     was_usable_ = is_usable;
@@ -184,6 +188,7 @@
   fetch_missing_records();
   start_peer_discovery();
   record_suspicions();
+  usage_.on_tick();
   shared_.directory.remove_expired(shared_.now);
   if (shared_.is_stopping) {
     finish_stopping();
@@ -325,6 +330,9 @@
   report.is_store_reachable = is_store_reachable_;
   report.capacity_weight = shared_.settings.capacity_weight;
   report.suspicions = shared_.containment.to_report(shared_.now);
+  if (shared_.settings.usage.is_enabled) {
+    report.clock = shared_.own_clock();
+  }
   return report;
 }
 
@@ -442,6 +450,7 @@
   for (const peer_presence& item : content.presences) {
     on_presence(item);
   }
+  usage_.on_reports(value);
   const bool is_bundle =
       !content.presences.empty() ||
       (!content.reports.empty() && content.reports.front().age > duration::zero());
--- a/src/arbutuslb/core/gateway/gateway_core.h
+++ b/src/arbutuslb/core/gateway/gateway_core.h
@@ -12,6 +12,7 @@
 #include "arbutuslb/core/gateway/bundle_planner.h"
 #include "arbutuslb/core/gateway/request_router.h"
 #include "arbutuslb/core/gateway/upstream_gate.h"
+#include "arbutuslb/core/gateway/usage_service.h"
 
 namespace arbutuslb::core::gateway {
 
@@ -43,7 +44,7 @@
     bool is_local = false; // in the local failure domain
   };
 
-  void on_tick();
+  void on_tick(duration suspended);
   void on_operator_records(operator_records_received value);
   void on_orders_changed();
   void on_reports(const reports_received& value);
@@ -83,6 +84,7 @@
   rollout_conductor rollouts_;
   upstream_gate gate_;
   request_router router_;
+  usage_service usage_;
   std::map<std::string, contact> contacts_; // by host
   time_point next_discovery_{};
   time_point next_bundle_{};
--- a/src/arbutuslb/core/gateway/peer_report.h
+++ b/src/arbutuslb/core/gateway/peer_report.h
@@ -7,6 +7,7 @@
 #include "arbutuslb/core/base/ids.h"
 #include "arbutuslb/core/base/time.h"
 #include "arbutuslb/core/calls/poison_registry.h"
+#include "arbutuslb/core/duties/usage_ledger.h"
 #include "arbutuslb/core/gateway/log_position.h"
 #include "arbutuslb/core/protocol/messages.h"
 
@@ -70,6 +71,8 @@
   std::vector<rollout_progress> rollouts;
   std::vector<protocol::evidence_report> evidence;
   std::vector<calls::suspicion> suspicions; // that the sender knows (crash_containment.h)
+  // Time of day at the sender when it sent the report, as its own clock has it; zero if not stated.
+  time_point clock{};
 };
 
 // A report, and the time since the sending daemon received it; zero if it describes that daemon
@@ -89,6 +92,7 @@
 struct report_bundle {
   std::vector<aged_report> reports;
   std::vector<peer_presence> presences;
+  std::vector<duties::usage_report> usage = {}; // counters of the sender
 };
 
 } // namespace arbutuslb::core::gateway
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -447,6 +447,7 @@
     value.is_abandoned = true;
     return;
   }
+  count_usage(value);
   shared_.add_action(cancel_attempt{value.attempt});
   if (shared_.now - value.started >= silence_latency_multiple * route_mean(value.request.route)) {
     record_silence(value);
@@ -482,6 +483,9 @@
   }
   mean_in_flight_ += in_flight_weight * (queue_.in_flight() - mean_in_flight_);
   record_late_executions();
+  if (shared_.settings.usage.is_enabled) {
+    count_running_usage();
+  }
 }
 
 void upstream_gate::describe(peer_report& report) {
--- a/src/arbutuslb/core/gateway/upstream_gate.h
+++ b/src/arbutuslb/core/gateway/upstream_gate.h
@@ -78,6 +78,7 @@
     calls::suspicion suspicion; // as known when it was started
     upstream_incarnation upstream() const { return {request.instance_id, upstream_started_ms}; }
     duration counted_late_at{};     // elapsed time at which it was counted as late; zero: never
+    bool is_counted = false;        // as usage
     bool is_abandoned = false;      // the requester has disconnected; the result is not sent
     bool is_behind_suspect = false; // in `held_suspects_`
   };
@@ -104,7 +105,11 @@
   // Returns false if the departure was recorded in an earlier era only: the store may have lost it.
   bool is_departure_recorded() const;
   void send_acknowledgements(const std::string& reason);
-  void record_completion(const execution& ended, const attempt_completed& end);
+  // Counts the execution as usage of its organisation, once.
+  void count_usage(execution& value);
+  // Counts executions that the upstream would have refused by now.
+  void count_running_usage();
+  void record_completion(execution& ended, const attempt_completed& end);
   // Counts an execution that has ended as evidence for the running rollout.
   void record_evidence(const execution& ended, execution_end end);
   // Counts the executions that have become late.
--- a/src/arbutuslb/core/gateway/upstream_gate_results.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate_results.cc
@@ -10,6 +10,8 @@
 // Weight of the newest sample in the moving averages.
 constexpr double latency_weight = 0.1;
 constexpr double failure_weight = 0.05;
+// An upstream refuses a request that it does not execute within this time.
+constexpr std::chrono::milliseconds refusal_time{250};
 
 bool is_server_error(const run_result& result) {
   return result.outcome == run_outcome::answered && result.answer.status >= first_error_status;
@@ -17,11 +19,31 @@
 
 } // namespace
 
-void upstream_gate::record_completion(const execution& ended, const attempt_completed& end) {
+void upstream_gate::count_usage(execution& value) {
+  if (value.is_counted || value.request.organisation.empty() ||
+      !shared_.settings.usage.is_enabled) {
+    return;
+  }
+  value.is_counted = true;
+  shared_.usage_starts.push_back({value.request.organisation, value.started});
+}
+
+void upstream_gate::count_running_usage() {
+  for (auto& [token, value] : executions_) {
+    if (value.attempt != 0 && shared_.now - value.started >= refusal_time) {
+      count_usage(value);
+    }
+  }
+}
+
+void upstream_gate::record_completion(execution& ended, const attempt_completed& end) {
   const duration latency = shared_.now - ended.started;
   const bool is_answer = end.result.outcome == run_outcome::answered;
   queue_.release(is_answer ? std::optional<duration>(latency) : std::nullopt);
   const bool has_failed = !is_answer || is_server_error(end.result);
+  if (end.result.outcome != run_outcome::not_executed) {
+    count_usage(ended);
+  }
   failed_share_ += failure_weight * ((has_failed ? 1.0 : 0.0) - failed_share_);
   if (end.is_unreachable) {
     shared_.registry.on_unreachable();
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -197,6 +197,47 @@
           fleet_ref.handle(target, gateway::outcome_recorded{service, is_first, fleet_ref.era_});
         });
   }
+  void operator()(const core::duties::read_usage_log&) const {
+    gateway_fleet& fleet_ref = fleet;
+    fleet_ref.after(default_delay, [&fleet_ref, target = index] {
+      gateway::usage_log_read read;
+      read.suspended = fleet_ref.clocks[target];
+      if (!fleet_ref.is_store_down) {
+        const std::vector<core::duties::usage_record>& log = fleet_ref.usage_log_;
+        read.state = {fleet_ref.era_, log.size(),
+                      log.empty() ? std::nullopt : std::optional(log.back())};
+      }
+      fleet_ref.handle(target, read);
+    });
+  }
+  void operator()(const core::duties::append_usage_record& action) const {
+    gateway_fleet& fleet_ref = fleet;
+    core::duties::append_outcome outcome = core::duties::append_outcome::refused;
+    if (!fleet_ref.is_store_down) {
+      const bool is_at_end = action.expected_end == fleet_ref.usage_log_.size();
+      outcome = is_at_end ? core::duties::append_outcome::appended
+                          : core::duties::append_outcome::conflict;
+      if (is_at_end) {
+        fleet_ref.usage_log_.push_back(action.record);
+      }
+    }
+    fleet_ref.after(default_delay, [&fleet_ref, target = index, outcome] {
+      fleet_ref.handle(target,
+                       gateway::usage_appended{outcome, fleet_ref.era_, fleet_ref.clocks[target]});
+    });
+  }
+  void operator()(const core::duties::post_usage& action) const {
+    gateway_fleet& fleet_ref = fleet;
+    fleet_ref.usage_reports.push_back({index, action.record});
+    const bool is_answered = !fleet_ref.is_collector_down;
+    fleet_ref.after(is_answered ? core::duration{default_delay} : action.timeout,
+                    [&fleet_ref, target = index, is_answered] {
+                      fleet_ref.handle(
+                          target,
+                          gateway::usage_posted{is_answered ? core::duties::post_outcome::accepted
+                                                            : core::duties::post_outcome::unknown});
+                    });
+  }
   void operator()(const core::engine::write_event& action) const { fleet.log.push_back(action); }
   void operator()(const gateway::stop_reading_callers&) const {
     gateway_fleet& fleet_ref = fleet;
@@ -224,6 +265,7 @@
   added.settings.service = service;
   added.settings.cold_load_factor = cold_load_factor;
   added.settings.cold_load_extra = cold_load_extra;
+  added.settings.usage = usage;
   added.settings.upstream_address = added.settings.host + ":80";
   added.upstream_started_ms = 1000 + static_cast<std::int64_t>(index);
   running_now.push_back(0);
@@ -561,7 +603,7 @@
         nodes_[index].next_heartbeat = now_ + heartbeat_period;
         emit_heartbeat(index);
       }
-      handle(index, gateway::tick{});
+      handle(index, gateway::tick{clocks[index]});
     }
   }
   run_timers(end);
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -40,6 +40,12 @@
   std::string target;    // of the request that caused it; empty if none did
 };
 
+// A usage report that the platform has received.
+struct received_usage {
+  std::size_t index = 0; // of the daemon
+  core::duties::usage_record record;
+};
+
 class gateway_fleet {
 public:
   explicit gateway_fleet(std::uint64_t seed);
@@ -109,8 +115,12 @@
   double datagram_loss = 0;               // fraction of the reports that are lost
   std::set<std::size_t> silent_reporters; // daemons whose reports, and bundles with them, are lost
   bool is_store_down = false;
-  double cold_load_factor = 1.0; // for daemons that are added later
-  double cold_load_extra = 0.0;  // for daemons that are added later
+  bool is_collector_down = false;               // answers no usage report, but receives it
+  core::duties::usage_settings usage;           // for daemons that are added later
+  std::vector<received_usage> usage_reports;    // that the platform has received
+  std::map<std::size_t, core::duration> clocks; // error of the daemon's time of day, by daemon
+  double cold_load_factor = 1.0;                // for daemons that are added later
+  double cold_load_extra = 0.0;                 // for daemons that are added later
   std::vector<core::engine::write_event> log;
   std::uint64_t datagrams_between_domains = 0;
 
@@ -151,6 +161,7 @@
   core::random_source random_;
   std::vector<node> nodes_;
   std::vector<core::gateway::operator_record> log_;
+  std::vector<core::duties::usage_record> usage_log_;
   std::uint64_t era_ = 1;                               // of the store
   std::map<std::string, std::string> outcome_versions_; // in `outcomes`, by service
   std::multimap<core::time_point, std::function<void()>> timers_;
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -5,6 +5,7 @@
 #include "arbutuslb/platform/heartbeats.h"
 #include "arbutuslb/platform/orders.h"
 #include "arbutuslb/platform/requests.h"
+#include "arbutuslb/platform/usage_reports.h"
 #include "arbutuslb/runtime/clock.h"
 #include "arbutuslb/runtime/gateway_metrics.h"
 #include "arbutuslb/runtime/http/server.h"
@@ -77,7 +78,7 @@
         answers(std::make_shared<http::body_account>(
             http::body_account{values.memory_bytes / answer_memory_divisor, 0})),
         peer_client(loop, answers), upstream_client(loop, answers), store_connections(loop),
-        store(store_connections, values.store),
+        usage_client(loop), store(store_connections, values.store),
         members(store, values.core.host, values.core.name,
                 [this](const std::string& event, const std::string& reason) {
                   write_event(core::engine::severity::error, event, {{"reason", reason}});
@@ -211,6 +212,11 @@
     }
     void operator()(const gateway::read_outcomes&) const { host.read_outcomes(); }
     void operator()(const gateway::record_outcome& action) const { host.record_outcome(action); }
+    void operator()(const core::duties::read_usage_log&) const { host.read_usage_log(); }
+    void operator()(const core::duties::append_usage_record& action) const {
+      host.append_usage_record(action);
+    }
+    void operator()(const core::duties::post_usage& action) const { host.post_usage(action); }
     void operator()(const core::engine::write_event& action) const {
       host.log.write(action, host.clock.now());
     }
@@ -499,6 +505,80 @@
                  });
   }
 
+  // --- usage ---
+
+  void read_usage_log() {
+    store.read_newest(platform::usage_topic, [this](const platform::read_result& result) {
+      handle(gateway::usage_log_read{decode_usage_log(result), clock.suspended()});
+    });
+  }
+
+  std::optional<core::duties::usage_log_state>
+  decode_usage_log(const platform::read_result& result) {
+    if (result.status != platform::read_status::ok) {
+      return std::nullopt;
+    }
+    core::duties::usage_log_state log_state{result.era, result.end_offset, std::nullopt};
+    for (const platform::store_record& record : result.records) {
+      if (record.key != platform::usage_key) {
+        continue;
+      }
+      try {
+        log_state.last = wire::decode_usage_record(record.value);
+      } catch (const wire::codec_error& error) {
+        write_event(core::engine::severity::error, "usage_record_malformed",
+                    {{"reason", error.what()}});
+        return std::nullopt; // what was reported is not known
+      }
+    }
+    return log_state;
+  }
+
+  void append_usage_record(const core::duties::append_usage_record& action) {
+    store.append(
+        platform::usage_topic, platform::usage_key, wire::encode(action.record),
+        action.expected_end, [this](const platform::append_result& result) {
+          handle(gateway::usage_appended{outcome_of(result.status), result.era, clock.suspended()});
+        });
+  }
+
+  static core::duties::append_outcome outcome_of(platform::append_status status) {
+    switch (status) {
+    case platform::append_status::appended:
+      return core::duties::append_outcome::appended;
+    case platform::append_status::conflict:
+      return core::duties::append_outcome::conflict;
+    case platform::append_status::refused:
+      return core::duties::append_outcome::refused;
+    case platform::append_status::unknown:
+      break;
+    }
+    return core::duties::append_outcome::unknown;
+  }
+
+  void post_usage(const core::duties::post_usage& action) {
+    core::http_request request = platform::encode_usage_report(action.record);
+    request.headers.emplace_back("Host", settings.usage_collector.address().to_string());
+    http::send_options options;
+    options.connect_timeout = action.timeout / 2;
+    options.max_idle = core::duration::zero();
+    options.answer_timeout = action.timeout;
+    options.resets_when_overdue = true;
+    usage_client.send(settings.usage_collector, request, std::move(options),
+                      [this, action](const http::exchange_result& exchange) {
+                        const std::string status =
+                            exchange.outcome == http::exchange_outcome::answered
+                                ? std::to_string(exchange.answer.status)
+                                : "none";
+                        write_event(core::engine::severity::info, "usage_reported",
+                                    {{"window", std::to_string(action.record.window)},
+                                     {"token", std::to_string(action.record.fencing_token)},
+                                     {"organisations", std::to_string(action.record.counts.size())},
+                                     {"status", status}});
+                        handle(gateway::usage_posted{platform::decode_usage_answer(exchange)});
+                      });
+  }
+
   // --- reports ---
 
   void send_reports(const gateway::send_reports& action) {
@@ -558,7 +638,8 @@
       for (http::server* item : {&callers, &peers, &upstreams, &readiness, &metrics}) {
         item->sweep(now);
       }
-      for (http::client* item : {&peer_client, &upstream_client, &store_connections}) {
+      for (http::client* item :
+           {&peer_client, &upstream_client, &store_connections, &usage_client}) {
         item->sweep(now);
       }
     }
@@ -566,7 +647,7 @@
       are_callers_stopped = false;
       handle(gateway::callers_drained{});
     }
-    handle(gateway::tick{});
+    handle(gateway::tick{clock.suspended()});
     if (exits_by) {
       exit_after_answers();
     }
@@ -617,6 +698,7 @@
   http::client peer_client;
   http::client upstream_client;
   http::client store_connections;
+  http::client usage_client;
   platform::store_client store;
   member_registry members;
   order_follower follower;
--- a/src/arbutuslb/runtime/gateway_metrics.cc
+++ b/src/arbutuslb/runtime/gateway_metrics.cc
@@ -37,6 +37,8 @@
   write_counter(out, "reports_sent_total", totals.reports_sent);
   write_counter(out, "reports_received_total", totals.reports_received);
   write_counter(out, "heartbeats_refused_total", totals.heartbeats_refused);
+  write_counter(out, "usage_reports_total", totals.usage_reports);
+  write_counter(out, "usage_failures_total", totals.usage_failures);
   write_counter(out, "store_calls_total", store_calls);
   write_counter(out, "log_lines_dropped_total", log_lines_dropped);
   write_counter(out, "inputs_dropped_total", inputs_dropped);
--- a/src/arbutuslb/runtime/gateway_settings.cc
+++ b/src/arbutuslb/runtime/gateway_settings.cc
@@ -25,6 +25,7 @@
 constexpr std::int64_t max_memory_mb = 1'000'000;
 constexpr std::size_t megabyte = std::size_t{1024} * 1024;
 constexpr double max_link_mbps = 1e9;
+constexpr std::chrono::seconds min_usage_time{1};
 
 asio::ip::tcp::endpoint read_address(object_reader& reader, std::string_view key,
                                      finding_list& findings) {
@@ -55,6 +56,26 @@
   reader.finish();
 }
 
+void read_usage(object_reader& parent, gateway_host_settings& settings, finding_list& findings) {
+  const object_reader::element source = parent.optional_object("usage");
+  object_reader reader(*source.value, source.place, findings);
+  core::duties::usage_settings& usage = settings.core.usage;
+  usage.is_enabled = reader.has("collector");
+  if (usage.is_enabled) {
+    settings.usage_collector = read_address(reader, "collector", findings);
+  }
+  usage.window = reader.optional_duration("window", usage.window);
+  usage.due = reader.optional_duration("due", usage.due);
+  usage.lease = reader.optional_duration("lease", usage.lease);
+  for (const auto& [key, value] : {std::pair("window", usage.window), std::pair("due", usage.due),
+                                   std::pair("lease", usage.lease)}) {
+    if (value < min_usage_time) {
+      findings.add(reader.place_of(key), "expected a second at least");
+    }
+  }
+  reader.finish();
+}
+
 } // namespace
 
 gateway_host_settings parse_gateway_settings(std::string_view text) {
@@ -102,6 +123,7 @@
   limits_reader.finish();
   settings.core.capacity_weight =
       static_cast<int>(std::min(cores / reference_cores, link_mbps / reference_link_mbps));
+  read_usage(reader, settings, findings);
   settings.core.grace_period = reader.optional_duration("grace_period", settings.core.grace_period);
   reader.finish();
   settings.core.host = settings.peers.address().to_string();
--- a/src/arbutuslb/runtime/gateway_settings.h
+++ b/src/arbutuslb/runtime/gateway_settings.h
@@ -21,6 +21,7 @@
   // Addresses of other processes:
   asio::ip::tcp::endpoint upstream; // the local upstream
   asio::ip::tcp::endpoint store;
+  asio::ip::tcp::endpoint usage_collector; // set if `core.usage.is_enabled`
   // The process is ended if it uses more memory than this.
   std::size_t memory_bytes = std::size_t{64} * 1024 * 1024;
 };
--- a/src/arbutuslb/runtime/gateway_settings_test.cc
+++ b/src/arbutuslb/runtime/gateway_settings_test.cc
@@ -72,7 +72,11 @@
           {"bounds.retryBudgetExtra", "60"},
           {"bounds.exposureShare", "0.1"},
           {"bounds.exposureSlack", "50"},
-          {"bounds.gracePeriod", "6s"}};
+          {"bounds.gracePeriod", "6s"},
+          {"cloudApi.address", "10.200.0.101:8469"},
+          {"bounds.reportWindow", "4s"},
+          {"bounds.usageLate", "11s"},
+          {"bounds.leaseDuration", "2500ms"}};
 }
 
 bool may_be_left_out(const std::string& name) {
@@ -87,6 +91,9 @@
       parse_gateway_settings(render(read_template(), complete_values()));
   cr_assert_eq(settings.core.cold_load_factor, 1.5);
   cr_assert_eq(settings.core.retry_extra, 60);
+  cr_assert(settings.core.usage.is_enabled);
+  cr_assert_eq(settings.usage_collector.port(), 8469);
+  cr_assert(settings.core.usage.lease == std::chrono::milliseconds{2500});
   cr_assert_eq(settings.memory_bytes, std::size_t{260} * 1024 * 1024);
 }
 
@@ -107,5 +114,6 @@
   const gateway_host_settings settings = parse_gateway_settings(render(read_template(), none));
   cr_assert_eq(settings.core.cold_load_factor, defaults.core.cold_load_factor);
   cr_assert_eq(settings.core.retry_ratio, defaults.core.retry_ratio);
+  cr_assert_not(settings.core.usage.is_enabled);
   cr_assert(settings.core.grace_period == defaults.core.grace_period);
 }
--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -111,6 +111,10 @@
   void fail(bool is_timeout = false) {
     const exchange_outcome outcome =
         has_sent_ ? exchange_outcome::broken : exchange_outcome::not_connected;
+    if (is_timeout && options_.resets_when_overdue) {
+      std::error_code ignored; // the connection may be closed already
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     close();
     finish({outcome, {}, is_timeout && has_sent_});
   }
--- a/src/arbutuslb/runtime/http/client.h
+++ b/src/arbutuslb/runtime/http/client.h
@@ -53,6 +53,9 @@
   core::duration max_idle = std::chrono::seconds{4};
   // Time limit for the complete answer, counted from `send`; zero: no limit.
   core::duration answer_timeout{};
+  // Resets the connection when its answer is overdue, so that no byte of the request that is still
+  // on its way is delivered later.
+  bool resets_when_overdue = false;
   // Returns which request an answer names. One that names another request is dropped; one that
   // names none breaks the connection. Empty: every answer is accepted.
   std::function<answer_owner(const core::http_response&)> owner_of;
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -210,6 +210,7 @@
   out.set_instance_id(value.instance_id);
   out.set_version(value.version);
   out.set_settled_version(value.settled_version);
+  out.set_clock(value.clock.time_since_epoch().count());
   out.set_upstream_started_ms(value.upstream_started_ms);
   out.set_is_usable(value.is_usable);
   out.set_limit(static_cast<std::uint32_t>(value.limit));
@@ -262,6 +263,7 @@
   value.instance_id = in.instance_id();
   value.version = in.version();
   value.settled_version = in.settled_version();
+  value.clock = core::time_point{core::duration{std::max<std::int64_t>(0, in.clock())}};
   value.upstream_started_ms = in.upstream_started_ms();
   value.is_usable = in.is_usable();
   value.limit = static_cast<int>(in.limit());
@@ -296,6 +298,34 @@
 
 } // namespace
 
+namespace {
+
+void to_proto(const core::duties::usage_report& from, UsageReport& out) {
+  out.set_boot(from.process_epoch);
+  for (const core::duties::usage_report::counter& item : from.counters) {
+    UsageCounter& converted = *out.add_counters();
+    converted.set_window(item.window);
+    converted.set_organisation(item.organisation);
+    converted.set_count(item.count);
+  }
+  for (const core::duties::window_number window : from.complete) {
+    out.add_complete(window);
+  }
+}
+
+core::duties::usage_report usage_from_proto(const UsageReport& in, const std::string& host) {
+  core::duties::usage_report value;
+  value.host = host;
+  value.process_epoch = in.boot();
+  for (const UsageCounter& item : in.counters()) {
+    value.counters.push_back({item.window(), item.organisation(), item.count()});
+  }
+  value.complete.assign(in.complete().begin(), in.complete().end());
+  return value;
+}
+
+} // namespace
+
 std::string encode(const gateway::report_bundle& bundle) {
   ReportBundle out;
   out.set_protocol(protocol_version);
@@ -307,6 +337,9 @@
     converted.set_host(item.host);
     converted.set_age(item.age.count());
   }
+  for (const core::duties::usage_report& item : bundle.usage) {
+    to_proto(item, *out.add_usage());
+  }
   return out.SerializeAsString();
 }
 
@@ -328,6 +361,9 @@
   for (const Presence& item : in.presences()) {
     bundle.presences.push_back({item.host(), age_of(item)});
   }
+  for (const UsageReport& item : in.usage()) {
+    bundle.usage.push_back(usage_from_proto(item, host));
+  }
   return bundle;
 }
 
@@ -384,6 +420,31 @@
   return value;
 }
 
+std::string encode(const core::duties::usage_record& value) {
+  UsageRecord out;
+  out.set_window(value.window);
+  for (const auto& [organisation, count] : value.counts) {
+    (*out.mutable_counts())[organisation] = count;
+  }
+  out.set_author(value.author);
+  out.set_author_epoch(value.author_epoch);
+  out.set_fencing_token(value.fencing_token);
+  out.set_era(value.era);
+  return out.SerializeAsString();
+}
+
+core::duties::usage_record decode_usage_record(std::string_view bytes) {
+  const UsageRecord in = parse<UsageRecord>(bytes);
+  core::duties::usage_record value;
+  value.window = in.window();
+  value.counts.insert(in.counts().begin(), in.counts().end());
+  value.author = in.author();
+  value.author_epoch = in.author_epoch();
+  value.fencing_token = in.fencing_token();
+  value.era = in.era();
+  return value;
+}
+
 std::string encode_departure(const gateway::upstream_incarnation& value) {
   Departure out;
   out.set_instance_id(value.instance_id);
--- a/src/arbutuslb/runtime/wire/gateway_codec.h
+++ b/src/arbutuslb/runtime/wire/gateway_codec.h
@@ -1,6 +1,7 @@
 // Encodes and decodes the messages between daemons of the data path (gateway.proto).
 #pragma once
 
+#include "arbutuslb/core/duties/usage_duty.h"
 #include "arbutuslb/core/gateway/calls.h"
 #include "arbutuslb/core/gateway/peer_report.h"
 #include "arbutuslb/core/gateway/upstream_registry.h"
@@ -29,6 +30,7 @@
 std::string encode(const operator_records_reply& value);
 std::string encode_operator_records_request(const core::gateway::log_position& from);
 std::string encode_suspicions(const std::vector<core::calls::suspicion>& value);
+std::string encode(const core::duties::usage_record& value);
 std::string encode_departure(const core::gateway::upstream_incarnation& value);
 
 // All throw `codec_error` if the bytes are malformed or contain a value out of range.
@@ -40,6 +42,7 @@
 operator_records_reply decode_operator_records_reply(std::string_view bytes);
 core::gateway::log_position decode_operator_records_request(std::string_view bytes);
 std::vector<core::calls::suspicion> decode_suspicions(std::string_view bytes);
+core::duties::usage_record decode_usage_record(std::string_view bytes);
 core::gateway::upstream_incarnation decode_departure(std::string_view bytes);
 
 } // namespace arbutuslb::runtime::wire
