--- a/src/arbutuslb/soak/child_process.h
+++ b/src/arbutuslb/soak/child_process.h
@@ -20,6 +20,7 @@
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
 
+  int id() const noexcept { return pid_; }
   // Does nothing if `poll` has reported the exit.
   void signal(int signal_number) const;
   // Returns the status of `waitpid` if the process has exited; empty while it is running.
--- a/src/arbutuslb/soak/upstream_stand_in.cc
+++ b/src/arbutuslb/soak/upstream_stand_in.cc
@@ -186,9 +186,11 @@
     running_.insert(token);
     after(call_delay, [this, token, attempt_id] { call_for(token, attempt_id); });
   }
-  after(
-      is_slow ? slow_execution_time : min_execution_time + random_.jitter(execution_time_spread),
-      [this, token, attempt_id, body = request.body] { answer_request(token, attempt_id, body); });
+  after(is_slow ? slow_execution_time : min_execution_time + random_.jitter(execution_time_spread),
+        [this, token, attempt_id,
+         body = request.target == large_target
+                    ? std::string(large_answer_size, 'x')
+                    : request.body] { answer_request(token, attempt_id, body); });
 }
 
 void upstream_stand_in::call_for(std::uint64_t token, const std::string& attempt_id) {
--- a/src/arbutuslb/soak/upstream_stand_in.h
+++ b/src/arbutuslb/soak/upstream_stand_in.h
@@ -19,6 +19,9 @@
 
 // A request with this target crashes the upstream that executes it.
 inline constexpr const char* crashing_target = "/menu/crash";
+// The answer to a request with this target has `large_answer_size` bytes.
+inline constexpr const char* large_target = "/menu/large";
+inline constexpr std::size_t large_answer_size = 900'000;
 // A request whose target ends so takes `slow_execution_time`, more than half of a grace period.
 inline constexpr const char* slow_suffix = "/slow";
 inline constexpr std::chrono::milliseconds slow_execution_time{3400};
