--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -203,9 +203,9 @@
       gateway::usage_log_read read;
       read.suspended = fleet_ref.clocks[target];
       if (!fleet_ref.is_store_down) {
-        const std::vector<core::duties::usage_record>& log = fleet_ref.usage_log_;
-        read.state = {fleet_ref.era_, log.size(),
-                      log.empty() ? std::nullopt : std::optional(log.back())};
+        const std::vector<core::duties::usage_record>& records = fleet_ref.usage_log_;
+        read.state = {fleet_ref.era_, records.size(),
+                      records.empty() ? std::nullopt : std::optional(records.back())};
       }
       fleet_ref.handle(target, read);
     });
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -21,6 +21,7 @@
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
+#include <bit>
 #include <concepts>
 #include <csignal>
 #include <malloc.h>
@@ -43,9 +44,12 @@
 // Time between two checks of the timeouts of connections.
 constexpr std::chrono::milliseconds sweep_period{100};
 constexpr std::chrono::milliseconds peer_connect_timeout{250};
-// Part of the memory for bodies of answers that are being read. Each is copied up to three times on
-// its way to the caller.
-constexpr std::size_t answer_memory_divisor = 8;
+// Part of the memory for what callers, peers and upstreams send and do not read. The rest is for
+// the process itself, for the copies that are made on the way, and for free memory between blocks
+// in use.
+constexpr std::size_t message_memory_divisor = 4;
+// One large message may use this part while nothing else is large.
+constexpr double single_message_share = 0.6;
 constexpr std::chrono::milliseconds upstream_connect_timeout{300};
 // Requests that were interrupted are answered at the latest after this time.
 constexpr std::chrono::milliseconds upstream_probe_timeout{100};
@@ -75,9 +79,11 @@
       : settings(values), settings_path(std::move(path)),
         core(values.core, random_seed(), clock.now()), log(STDOUT_FILENO),
         signals(loop, SIGTERM, SIGINT, SIGHUP), timer(loop),
-        answers(std::make_shared<http::body_account>(
-            http::body_account{values.memory_bytes / answer_memory_divisor, 0})),
-        peer_client(loop, answers), upstream_client(loop, answers), store_connections(loop),
+        memory(std::make_shared<http::memory_budget>(http::memory_limits{
+            values.memory_bytes / message_memory_divisor,
+            static_cast<std::size_t>(single_message_share *
+                                     static_cast<double>(values.memory_bytes))})),
+        peer_client(loop, memory), upstream_client(loop, memory), store_connections(loop),
         usage_client(loop), store(store_connections, values.store),
         members(store, values.core.host, values.core.name,
                 [this](const std::string& event, const std::string& reason) {
@@ -100,14 +106,18 @@
                  },
                  [this](std::uint64_t token) { handle(gateway::caller_disconnected{token}); },
                  [this](const std::string& reason) { log_accept_failure("callers", reason); },
-                 [this](const http::dropped_input& dropped) { log_dropped("callers", dropped); }}),
+                 [this](std::size_t bytes) { log_out_of_memory("callers", bytes); },
+                 [this](const http::dropped_input& dropped) { log_dropped("callers", dropped); }},
+                memory),
         peers(loop, values.peers,
               {[this](std::uint64_t token, const core::http_request& request) {
                  on_peer_request(token, request);
                },
                [this](std::uint64_t token) { handle(gateway::peer_disconnected{token}); },
                [this](const std::string& reason) { log_accept_failure("peers", reason); },
-               [this](const http::dropped_input& dropped) { log_dropped("peers", dropped); }}),
+               [this](std::size_t bytes) { log_out_of_memory("peers", bytes); },
+               [this](const http::dropped_input& dropped) { log_dropped("peers", dropped); }},
+              memory),
         upstreams(loop, values.upstreams,
                   {[this](std::uint64_t token, const core::http_request& request) {
                      on_upstream_call(token, request);
@@ -169,6 +179,18 @@
                  {"ready", core.is_ready() ? "true" : "false"}});
   }
 
+  // Callers decide how often this happens, so the log has one line for each doubling.
+  void log_out_of_memory(const char* edge, std::size_t bytes) {
+    ++out_of_memory;
+    if (std::has_single_bit(out_of_memory)) {
+      write_event(core::engine::severity::warning, "out_of_memory",
+                  {{"edge", edge},
+                   {"connection_bytes", std::to_string(bytes)},
+                   {"used_bytes", std::to_string(memory->used())},
+                   {"total", std::to_string(out_of_memory)}});
+    }
+  }
+
   void handle(gateway::event value) {
     for (gateway::action& item : core.handle(std::move(value), clock.now())) {
       std::visit(action_executor{*this}, item);
@@ -284,6 +306,14 @@
       completed.result.reason = "connection to the peer broke";
       return completed;
     }
+    if (exchange.answer.status != status_ok) {
+      // The peer's edge answers so only for a request that it has not passed on.
+      completed.result.outcome = gateway::run_outcome::not_executed;
+      completed.result.reached_upstream = false;
+      completed.result.reason =
+          "peer refused with status " + std::to_string(exchange.answer.status);
+      return completed;
+    }
     try {
       completed.result = wire::decode_run_result(exchange.answer.body);
     } catch (const wire::codec_error& error) {
@@ -683,7 +713,7 @@
 
   std::string render_metrics() const {
     return runtime::render_metrics(core.totals(), core.containment(), store.calls(), log.dropped(),
-                                   inputs_dropped, events_failed);
+                                   inputs_dropped, events_failed, {memory->used(), out_of_memory});
   }
 
   gateway_host_settings settings;
@@ -694,7 +724,7 @@
   log_writer log;
   asio::signal_set signals;
   asio::steady_timer timer;
-  std::shared_ptr<http::body_account> answers; // that are being read
+  std::shared_ptr<http::memory_budget> memory; // for messages
   http::client peer_client;
   http::client upstream_client;
   http::client store_connections;
@@ -711,6 +741,7 @@
   std::array<char, max_datagram_size> datagram{};
   std::map<std::uint64_t, std::pair<http::client*, std::uint64_t>> exchanges; // by attempt
   std::uint64_t events_failed = 0;                                            // by an exception
+  std::uint64_t out_of_memory = 0;  // requests refused and connections closed for want of memory
   std::uint64_t inputs_dropped = 0; // connections closed over input that was not passed on
   std::uint64_t configured_version = 0;
   core::time_point last_sweep_at{};
--- a/src/arbutuslb/runtime/gateway_metrics.cc
+++ b/src/arbutuslb/runtime/gateway_metrics.cc
@@ -13,7 +13,8 @@
 std::string render_metrics(const core::gateway::gateway_statistics& totals,
                            const core::gateway::crash_containment& containment,
                            std::uint64_t store_calls, std::uint64_t log_lines_dropped,
-                           std::uint64_t inputs_dropped, std::uint64_t events_failed) {
+                           std::uint64_t inputs_dropped, std::uint64_t events_failed,
+                           const memory_statistics& memory) {
   std::string out;
   write_counter(out, "calls_total", totals.calls);
   write_counter(out, "calls_answered_total", totals.answered);
@@ -43,6 +44,9 @@
   write_counter(out, "log_lines_dropped_total", log_lines_dropped);
   write_counter(out, "inputs_dropped_total", inputs_dropped);
   write_counter(out, "events_failed_total", events_failed);
+  write_counter(out, "out_of_memory_total", memory.refused);
+  out += "# TYPE arbutuslb_message_bytes gauge\narbutuslb_message_bytes " +
+         std::to_string(memory.used_bytes) + "\n";
   return out;
 }
 
--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -35,11 +35,11 @@
 } // namespace
 
 struct client::state : std::enable_shared_from_this<client::state> {
-  state(asio::io_context& io_loop, std::shared_ptr<body_account> bodies)
-      : loop(io_loop), account(std::move(bodies)) {}
+  state(asio::io_context& io_loop, std::shared_ptr<memory_budget> bodies)
+      : loop(io_loop), budget(std::move(bodies)) {}
 
   asio::io_context& loop;
-  std::shared_ptr<body_account> account;
+  std::shared_ptr<memory_budget> budget;
   std::uint64_t last_exchange = 0;
   std::uint64_t connections_opened = 0;
   std::map<std::uint64_t, std::shared_ptr<connection>> connections_by_exchange;
@@ -51,7 +51,7 @@
 public:
   connection(state& owner, const tcp::endpoint& address)
       : owner_(owner.weak_from_this()), address_(address), socket_(owner.loop),
-        reader_(message_kind::response, answer_limits, owner.account) {}
+        reader_(message_kind::response, answer_limits, owner.budget) {}
 
   void begin(std::uint64_t exchange, std::string request_bytes, bool has_no_body,
              send_options options, completion_handler on_end) {
@@ -330,8 +330,8 @@
   bool is_closed_ = false;
 };
 
-client::client(asio::io_context& loop, std::shared_ptr<body_account> account)
-    : state_(std::make_shared<state>(loop, std::move(account))) {}
+client::client(asio::io_context& loop, std::shared_ptr<memory_budget> budget)
+    : state_(std::make_shared<state>(loop, std::move(budget))) {}
 
 client::~client() {
   for (const auto& [exchange, item] : state_->connections_by_exchange) {
--- a/src/arbutuslb/runtime/http/client.h
+++ b/src/arbutuslb/runtime/http/client.h
@@ -67,8 +67,8 @@
 // Not thread-safe.
 class client {
 public:
-  // Answers that are being read count in the account, which may be null.
-  explicit client(asio::io_context& loop, std::shared_ptr<body_account> account = nullptr);
+  // Answers that are being read count in the budget, which may be null.
+  explicit client(asio::io_context& loop, std::shared_ptr<memory_budget> budget = nullptr);
   ~client();
   client(const client&) = delete;
   client& operator=(const client&) = delete;
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -600,16 +600,17 @@
 
 Test(client, bodies_without_end_share_one_limit_and_small_answers_pass_beside_them) {
   asio::io_context loop;
-  const auto account = std::make_shared<body_account>(body_account{std::size_t{1024} * 1024, 0});
-  message_reader large(message_kind::response, {1024, std::size_t{16} * 1024 * 1024}, account);
+  const auto budget = std::make_shared<memory_budget>(
+      memory_limits{std::size_t{1024} * 1024, std::size_t{1024} * 1024});
+  message_reader large(message_kind::response, {1024, std::size_t{16} * 1024 * 1024}, budget);
   large.consume("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n");
   const std::string piece(std::size_t{16} * 1024, 'x');
   for (int i = 0; i < 100 && large.state() == read_state::reading; ++i) {
     large.consume(piece);
-    cr_assert_leq(account->used, account->limit);
+    cr_assert_leq(budget->used(), std::size_t{1024} * 1024);
   }
   cr_assert(large.state() == read_state::failed);
-  message_reader small(message_kind::response, {1024, 16 * 1024}, account);
+  message_reader small(message_kind::response, {1024, 16 * 1024}, budget);
   small.consume("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
   cr_assert(small.state() == read_state::complete);
   cr_assert_eq(small.take_response().body, "ok");
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -11,6 +11,8 @@
 constexpr int first_final_status = 200;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
+// Memory of an empty header field: two strings, and room for a vector to grow.
+constexpr std::size_t field_overhead = 128;
 
 constexpr std::array<std::string_view, 9> hop_by_hop_fields{
     "Connection", "Keep-Alive",       "Transfer-Encoding", "Content-Length",    "TE",
@@ -59,7 +61,11 @@
     return *static_cast<message_reader*>(parser->data);
   }
   static int on_url(http_parser* parser, const char* at, std::size_t size) {
-    reader_of(parser).target_.append(at, size);
+    message_reader& reader = reader_of(parser);
+    if (!reader.grow(size)) {
+      return 1;
+    }
+    reader.target_.append(at, size);
     return 0;
   }
   static int on_field(http_parser* parser, const char* at, std::size_t size) {
@@ -67,7 +73,11 @@
     if (reader.has_headers_) {
       return 0; // behind the body: dropped, as nothing there has been checked
     }
-    if (reader.headers_.empty() || reader.last_was_value_) {
+    const bool is_new = reader.headers_.empty() || reader.last_was_value_;
+    if (!reader.grow(size + (is_new ? field_overhead : 0))) {
+      return 1;
+    }
+    if (is_new) {
       reader.headers_.emplace_back();
     }
     reader.last_was_value_ = false;
@@ -79,6 +89,9 @@
     if (reader.has_headers_) {
       return 0;
     }
+    if (!reader.grow(size)) {
+      return 1;
+    }
     reader.last_was_value_ = true;
     reader.headers_.back().second.append(at, size);
     return 0;
@@ -92,10 +105,20 @@
   }
   static int on_body(http_parser* parser, const char* at, std::size_t size) {
     message_reader& reader = reader_of(parser);
-    if (reader.body_.size() + size > reader.limits_.max_body_bytes || !reader.reserve(size)) {
+    if (reader.body_.size() + size > reader.limits_.max_body_bytes) {
       reader.fail(read_fault::body_too_large);
       return 1;
     }
+    // A body of unknown length grows into a buffer of up to twice its size.
+    const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    if (!reader.grow(has_length ? size : 2 * size)) {
+      return 1;
+    }
+    if (has_length && reader.body_.empty()) {
+      const std::uint64_t remaining = parser->content_length; // behind these bytes
+      reader.body_.reserve(static_cast<std::size_t>(
+          std::min<std::uint64_t>(remaining + size, reader.limits_.max_body_bytes)));
+    }
     reader.body_.append(at, size);
     return 0;
   }
@@ -123,30 +146,17 @@
 };
 
 message_reader::message_reader(message_kind kind, read_limits limits,
-                               std::shared_ptr<body_account> account)
-    : kind_(kind), limits_(limits), account_(std::move(account)) {
+                               std::shared_ptr<memory_budget> budget)
+    : kind_(kind), limits_(limits), share_(std::move(budget)) {
   begin_message();
 }
 
-message_reader::~message_reader() {
-  release_body();
-}
-
-bool message_reader::reserve(std::size_t size) {
-  if (!account_) {
+bool message_reader::grow(std::size_t size) {
+  if (share_.grow(size)) {
     return true;
   }
-  if (account_->used + size > account_->limit && body_.size() + size > unaccounted_body_bytes) {
-    return false;
-  }
-  account_->used += size;
-  return true;
-}
-
-void message_reader::release_body() {
-  if (account_) {
-    account_->used -= body_.size();
-  }
+  fail(read_fault::over_budget);
+  return false;
 }
 
 void message_reader::begin_message() {
@@ -163,9 +173,9 @@
   header_bytes_ = 0;
   keep_alive_time_.reset();
   target_.clear();
-  headers_.clear();
-  release_body();
+  headers_ = {}; // with its memory
   body_.clear();
+  share_.release();
 }
 
 void message_reader::fail(read_fault fault) {
@@ -321,7 +331,6 @@
   request.method = http_method_str(static_cast<http_method>(parser_.method));
   request.target = std::move(target_);
   request.headers = std::move(headers_);
-  release_body();
   request.body = std::exchange(body_, {});
   begin_message();
   return request;
@@ -332,7 +341,6 @@
   core::http_response response;
   response.status = static_cast<int>(parser_.status_code);
   response.headers = std::move(headers_);
-  release_body();
   response.body = std::exchange(body_, {});
   has_no_body_ = false;
   begin_message();
--- a/src/arbutuslb/runtime/http/message_reader.h
+++ b/src/arbutuslb/runtime/http/message_reader.h
@@ -11,9 +11,9 @@
 
 #include "arbutuslb/core/base/http_message.h"
 #include "arbutuslb/core/base/time.h"
+#include "arbutuslb/runtime/http/memory_budget.h"
 
 #include <http_parser.h>
-#include <limits>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -22,29 +22,25 @@
 
 enum class message_kind : std::uint8_t { request, response };
 enum class read_state : std::uint8_t { reading, complete, failed };
-enum class read_fault : std::uint8_t { none, malformed, headers_too_large, body_too_large };
+enum class read_fault : std::uint8_t {
+  none,
+  malformed,
+  headers_too_large,
+  body_too_large,
+  over_budget // too much memory is in use
+};
 
 struct read_limits {
   std::size_t max_header_bytes = 16384;
   std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
 };
 
-// Counts the bytes of bodies that are being read, over all readers that share it.
-struct body_account {
-  std::size_t limit = std::numeric_limits<std::size_t>::max();
-  std::size_t used = 0;
-};
-// A body may grow to this size whatever the account holds.
-inline constexpr std::size_t unaccounted_body_bytes = std::size_t{64} * 1024;
-
 // Not thread-safe; neither copyable nor movable.
 class message_reader {
 public:
-  // A body that exceeds the limit of the account, which may be null, fails. The account must
-  // outlive the reader.
+  // A message fails that the budget, which may be null, has no room for.
   message_reader(message_kind kind, read_limits limits,
-                 std::shared_ptr<body_account> account = nullptr);
-  ~message_reader();
+                 std::shared_ptr<memory_budget> budget = nullptr);
   message_reader(const message_reader&) = delete;
   message_reader& operator=(const message_reader&) = delete;
 
@@ -64,6 +60,9 @@
   // True if the sender waits for "100 Continue" before it sends the body.
   bool expects_continue() const noexcept { return expects_continue_; }
 
+  // Returns the memory that the current message uses.
+  std::size_t held_bytes() const noexcept { return share_.held(); }
+
   // Valid while the state is `complete`.
   bool keeps_connection() const noexcept { return keeps_connection_; }
   // The `timeout` of the Keep-Alive field: how long the sender keeps an idle connection open. Empty
@@ -75,9 +74,8 @@
 private:
   struct callbacks;
   void begin_message();
-  // Returns false if the body may not grow by `size`.
-  bool reserve(std::size_t size);
-  void release_body();
+  // Returns false, and fails, if the budget does not allow the message to grow by `size`.
+  bool grow(std::size_t size);
   void fail(read_fault fault);
   bool has_bare_line_feed(std::string_view bytes);
   // Returns the number of bytes skipped.
@@ -87,7 +85,7 @@
 
   message_kind kind_;
   read_limits limits_;
-  std::shared_ptr<body_account> account_;
+  budget_share share_;
   http_parser parser_{};
   read_state state_ = read_state::reading;
   read_fault fault_ = read_fault::none;
--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -19,6 +19,7 @@
 constexpr int status_timeout = 408;
 constexpr int status_body_too_large = 413;
 constexpr int status_headers_too_large = 431;
+constexpr int status_unavailable = 503;
 constexpr std::size_t read_buffer_size = std::size_t{32} * 1024;
 constexpr std::size_t small_read_buffer_size = std::size_t{16} * 1024;
 constexpr std::size_t max_reads_per_wakeup = 4;
@@ -29,6 +30,17 @@
 // for several round trips.
 constexpr std::chrono::seconds linger_time{1};
 
+// A request that is being executed is held this many times: by the server's user, and on its way to
+// its upstream.
+constexpr std::size_t copies_in_execution = 4;
+// While memory is scarce, a request of which nothing has arrived for this time is refused, and an
+// answer of which nothing has been read is given up, if it holds more than is guaranteed.
+constexpr std::chrono::seconds stall_time{2};
+// Requests behind unread answers are taken only while these have at most this size.
+constexpr std::size_t max_unread_answers = std::size_t{256} * 1024;
+// When a refused caller may try again.
+constexpr const char* out_of_memory_retry_after = "1";
+
 // Shared by all connections: the loop has one thread, and bytes are parsed or copied directly after
 // each read.
 std::array<char, read_buffer_size> read_buffer;
@@ -39,6 +51,8 @@
     return status_headers_too_large;
   case read_fault::body_too_large:
     return status_body_too_large;
+  case read_fault::over_budget:
+    return status_unavailable;
   default:
     return status_bad_request;
   }
@@ -47,19 +61,29 @@
 } // namespace
 
 struct server::state : std::enable_shared_from_this<server::state> {
-  state(asio::io_context& io_loop, const tcp::endpoint& address, server_handlers callbacks)
+  state(asio::io_context& io_loop, const tcp::endpoint& address, server_handlers callbacks,
+        std::shared_ptr<memory_budget> memory)
       : loop(io_loop), acceptor(io_loop, address), accept_timer(io_loop),
-        handlers(std::move(callbacks)) {}
+        handlers(std::move(callbacks)), budget(std::move(memory)) {}
 
   void accept();
   void add(tcp::socket socket);
   // Accepts the connections that callers have already established.
   void accept_established();
+  // Closes the connections that hold the largest unread answers until the budget has room for
+  // `size` bytes, or none is left that holds more than is guaranteed.
+  void make_room(std::size_t size);
+  void report_out_of_memory(std::size_t bytes) const {
+    if (handlers.on_out_of_memory) {
+      handlers.on_out_of_memory(bytes);
+    }
+  }
 
   asio::io_context& loop;
   tcp::acceptor acceptor;
   asio::steady_timer accept_timer;
   server_handlers handlers;
+  std::shared_ptr<memory_budget> budget;
   server_options options;
   bool closes_after_answers = false;
   bool is_stopped = false; // by `stop_reading`
@@ -72,15 +96,17 @@
 public:
   connection(state& owner, tcp::socket socket)
       : owner_(owner.weak_from_this()), socket_(std::move(socket)),
-        reader_(message_kind::request, owner.options.limits) {}
+        reader_(message_kind::request, owner.options.limits, owner.budget), share_(owner.budget) {}
 
   void start() { wait_for_bytes(); }
 
   void respond(std::uint64_t token, const core::http_response& response) {
     for (answer_slot& slot : slots_) {
       if (slot.token == token) {
-        slot.is_ready = true;
-        slot.answer = response;
+        hold_answer(slot, response);
+        if (is_closed_) {
+          return;
+        }
         break;
       }
     }
@@ -107,6 +133,9 @@
     if (is_refusing_) {
       return;
     }
+    if (is_stalled(now)) {
+      return;
+    }
     if (!reader_.has_begun()) {
       if (is_idle() && now - inactive_since_ >= options.idle_timeout) {
         close();
@@ -136,6 +165,14 @@
   }
 
   bool has_unsent_answers() const { return is_writing_ || is_lingering_ || !output_.empty(); }
+  // Returns the size of the answers that the caller has not read.
+  std::size_t unread_bytes() const {
+    std::size_t size = output_.size() + write_buffer_.size();
+    for (const answer_slot& slot : slots_) {
+      size += slot.is_ready ? slot.held : 0;
+    }
+    return size;
+  }
   bool is_idle() const { return slots_.empty() && !is_writing_ && !reader_.has_begun(); }
 
   void close() {
@@ -165,6 +202,7 @@
     std::uint64_t token = 0;
     bool is_ready = false;
     bool closes_connection = false;
+    std::size_t held = 0; // bytes taken from the budget for the request, then for the answer
     core::http_response answer;
   };
 
@@ -252,13 +290,16 @@
         dropped_bytes_ += bytes.size();
         return;
       }
-      if (slots_.size() >= owner->options.max_pipelined) {
+      if (slots_.size() >= owner->options.max_pipelined || unread_bytes() > max_unread_answers) {
         pending_input_.append(bytes);
         return;
       }
       bytes.remove_prefix(reader_.consume(bytes));
       if (reader_.state() == read_state::failed) {
         dropped_bytes_ += bytes.size();
+        if (reader_.fault() == read_fault::over_budget) {
+          owner->report_out_of_memory(reader_.held_bytes());
+        }
         refuse(status_of(reader_.fault()));
         return;
       }
@@ -274,7 +315,14 @@
   void take_request(state& owner) {
     has_sent_continue_ = false;
     is_next_request_ = true;
+    const std::size_t size = reader_.held_bytes() * copies_in_execution;
+    if (!share_.grow(size)) {
+      owner.report_out_of_memory(reader_.held_bytes());
+      refuse(status_unavailable);
+      return;
+    }
     answer_slot slot;
+    slot.held = size;
     slot.token = ++owner.last_token;
     slot.closes_connection = !reader_.keeps_connection();
     closes_after_slots_ = slot.closes_connection;
@@ -297,10 +345,56 @@
     slot.is_ready = true;
     slot.closes_connection = true;
     slot.answer.status = status;
+    if (status == status_unavailable) {
+      slot.answer.headers.emplace_back("Retry-After", out_of_memory_retry_after);
+    }
     slots_.push_back(std::move(slot));
     flush();
   }
 
+  // Keeps the answer until it can be written, in place of the request.
+  void hold_answer(answer_slot& slot, const core::http_response& response) {
+    share_.shrink(slot.held);
+    slot.held = response.body.size();
+    for (const auto& [name, value] : response.headers) {
+      slot.held += name.size() + value.size();
+    }
+    if (!share_.grow(slot.held)) {
+      share_.force(slot.held);
+      slot.is_ready = true;
+      if (const std::shared_ptr<state> owner = owner_.lock()) {
+        owner->make_room(0); // may close this connection
+      }
+      if (is_closed_) {
+        return;
+      }
+    }
+    slot.is_ready = true;
+    slot.answer = response;
+  }
+
+  // While memory is scarce, ends a connection that keeps much of it and makes no progress. Returns
+  // true if it has.
+  bool is_stalled(core::time_point now) {
+    const std::shared_ptr<state> owner = owner_.lock();
+    if (!owner || !owner->budget || !owner->budget->is_scarce() ||
+        now - inactive_since_ < stall_time) {
+      return false;
+    }
+    const std::size_t guaranteed = owner->budget->guaranteed();
+    if (is_writing_ && unread_bytes() > guaranteed) {
+      owner->report_out_of_memory(unread_bytes());
+      close();
+      return true;
+    }
+    if (reader_.has_begun() && reader_.held_bytes() > guaranteed) {
+      owner->report_out_of_memory(reader_.held_bytes());
+      refuse(status_timeout);
+      return true;
+    }
+    return false;
+  }
+
   void write_now(std::string bytes) {
     output_ += bytes;
     write();
@@ -326,6 +420,7 @@
       slots_.pop_front();
       closes_after_write_ = slot.closes_connection || (is_stopping && !is_owed());
       output_ += serialize(slot.answer, closes_after_write_);
+      written_held_ += slot.held;
       if (owner) {
         owner->connections_by_token.erase(slot.token);
       }
@@ -339,6 +434,7 @@
       return;
     }
     is_writing_ = true;
+    writing_held_ = std::exchange(written_held_, 0);
     write_buffer_ = std::exchange(output_, {});
     asio::async_write(socket_, asio::buffer(write_buffer_),
                       [self = shared_from_this()](std::error_code error, std::size_t) {
@@ -350,6 +446,7 @@
     is_writing_ = false;
     has_activity_ = true;
     write_buffer_ = {};
+    share_.shrink(std::exchange(writing_held_, 0));
     if (error) {
       close();
       return;
@@ -395,6 +492,9 @@
   std::deque<answer_slot> slots_; // in request order
   std::string pending_input_;     // received, and waits until there is room for its requests
   std::size_t dropped_bytes_ = 0; // received, and not read as a request
+  budget_share share_;            // requests in execution, and answers
+  std::size_t written_held_ = 0;  // for the answers in `output_`
+  std::size_t writing_held_ = 0;  // for those in `write_buffer_`
   std::string output_;
   std::string write_buffer_;
   bool is_waiting_ = false;
@@ -462,8 +562,24 @@
   }
 }
 
-server::server(asio::io_context& loop, const tcp::endpoint& address, server_handlers handlers)
-    : state_(std::make_shared<state>(loop, address, std::move(handlers))) {
+void server::state::make_room(std::size_t size) {
+  while (budget && budget->is_over(size)) {
+    const auto largest = std::max_element(connections.begin(), connections.end(),
+                                          [](const auto& one, const auto& other) {
+                                            return one->unread_bytes() < other->unread_bytes();
+                                          });
+    if (largest == connections.end() || (*largest)->unread_bytes() <= budget->guaranteed()) {
+      return;
+    }
+    const std::shared_ptr<connection> closed = *largest;
+    report_out_of_memory(closed->unread_bytes());
+    closed->close();
+  }
+}
+
+server::server(asio::io_context& loop, const tcp::endpoint& address, server_handlers handlers,
+               std::shared_ptr<memory_budget> budget)
+    : state_(std::make_shared<state>(loop, address, std::move(handlers), std::move(budget))) {
   state_->accept();
 }
 
--- a/src/arbutuslb/runtime/http/server.h
+++ b/src/arbutuslb/runtime/http/server.h
@@ -46,6 +46,9 @@
   std::function<void(std::uint64_t token)> on_disconnected;
   // Called when a connection could not be accepted, with the reason; may be empty.
   std::function<void(const std::string& reason)> on_accept_failed = {};
+  // Called when a request is refused, or a connection closed, because too much memory is in use;
+  // `bytes` is what the connection held. May be empty.
+  std::function<void(std::size_t bytes)> on_out_of_memory = {};
   // Called when a connection is closed that had received more than was passed on; may be empty.
   std::function<void(const dropped_input& dropped)> on_input_dropped = {};
 };
@@ -54,7 +57,9 @@
 class server {
 public:
   // Starts listening. Throws `std::system_error` if the address is in use.
-  server(asio::io_context& loop, const asio::ip::tcp::endpoint& address, server_handlers handlers);
+  // Whatever the server holds for its connections counts in the budget, which may be null.
+  server(asio::io_context& loop, const asio::ip::tcp::endpoint& address, server_handlers handlers,
+         std::shared_ptr<memory_budget> budget = nullptr);
   ~server();
   server(const server&) = delete;
   server& operator=(const server&) = delete;
