--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -176,6 +176,18 @@
   cr_assert_not(notice_of(421, {{"Server-Leaving", "1"}}).has_value());
 }
 
+// A peer's message without content decodes to an answer with status 0.
+Test(gateway_codec, an_answer_with_an_invalid_status_is_malformed) {
+  namespace wire = arbutuslb::runtime::wire;
+  for (const int status : {0, 99, 600, 999}) {
+    gateway::run_result result;
+    result.outcome = gateway::run_outcome::answered;
+    result.answer.status = status;
+    cr_assert_throw(wire::decode_run_result(wire::encode(result)), wire::codec_error);
+  }
+  cr_assert_throw(wire::decode_run_result(""), wire::codec_error);
+}
+
 Test(gateway_codec, requests_results_and_reports_survive_a_round_trip) {
   namespace wire = arbutuslb::runtime::wire;
   gateway::run_request request;
--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -598,6 +598,21 @@
   cr_assert(end_with(stray + own, false).outcome == exchange_outcome::broken);
 }
 
+// Guards against an answer of an endpoint in trouble that is passed on with a status that has no
+// class (RFC 9110, section 15: 100 to 599).
+Test(client, an_answer_with_an_invalid_status_is_no_answer) {
+  for (const char* status : {"000", "099", "042", "600", "999", "42", "2000", "", "abc", "-20"}) {
+    message_reader reader(message_kind::response, {1024, 1024});
+    reader.consume(std::string("HTTP/1.1 ") + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+    cr_assert(reader.state() == read_state::failed, "status \"%s\"", status);
+  }
+  for (const char* status : {"200", "404", "599"}) {
+    message_reader reader(message_kind::response, {1024, 1024});
+    reader.consume(std::string("HTTP/1.1 ") + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+    cr_assert(reader.state() == read_state::complete, "status \"%s\"", status);
+  }
+}
+
 Test(client, bodies_without_end_share_one_limit_and_small_answers_pass_beside_them) {
   asio::io_context loop;
   const auto budget = std::make_shared<memory_budget>(
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -8,6 +8,9 @@
 namespace arbutuslb::runtime::http {
 namespace {
 
+// Other values have no class (RFC 9110, section 15); nothing is known of what they mean.
+constexpr int first_status = 100;
+constexpr int last_status = 599;
 constexpr int first_final_status = 200;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
@@ -98,6 +101,13 @@
   }
   static int on_headers_complete(http_parser* parser) {
     message_reader& reader = reader_of(parser);
+    const bool has_invalid_status =
+        reader.kind_ == message_kind::response &&
+        (parser->status_code < first_status || parser->status_code > last_status);
+    if (has_invalid_status) {
+      reader.fail(read_fault::malformed);
+      return -1;
+    }
     http_parser_pause(parser, 1);
     const bool has_no_body = reader.kind_ == message_kind::response &&
                              (reader.has_no_body_ || !may_have_body(parser->status_code));
--- a/src/arbutuslb/runtime/wire/gateway_codec.cc
+++ b/src/arbutuslb/runtime/wire/gateway_codec.cc
@@ -13,6 +13,9 @@
 namespace gateway = core::gateway;
 
 constexpr std::uint32_t max_outcome = static_cast<std::uint32_t>(gateway::run_outcome::unknown);
+// Of an answer.
+constexpr std::uint32_t first_status = 100;
+constexpr std::uint32_t last_status = 599;
 constexpr std::uint32_t max_phase = static_cast<std::uint32_t>(gateway::rollout_phase::completed);
 
 template <typename Message>
@@ -168,6 +171,10 @@
   }
   gateway::run_result value;
   value.outcome = static_cast<gateway::run_outcome>(in.outcome());
+  const bool is_answer = value.outcome == gateway::run_outcome::answered;
+  if (is_answer && (in.status() < first_status || in.status() > last_status)) {
+    throw codec_error("status out of range"); // also a message without content
+  }
   value.answer.status = static_cast<int>(in.status());
   value.answer.headers = headers_from_proto(in);
   value.answer.body = in.body();
