--- a/src/arbutuslb/core/gateway/gateway_load_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_load_test.cc
@@ -247,3 +247,34 @@
   cr_assert_eq(ended, 7800);
   cr_assert(late * 1000 < ended, "%zu of %zu are late", late, ended);
 }
+
+// The load: all upstreams of a service are offered three times what they can execute. Guards
+// against requests that each full upstream refuses in turn: their transfers and the time of their
+// callers are lost.
+Test(gateway, a_request_that_was_refused_is_offered_only_where_there_is_room) {
+  mesh_fixture fixture;
+  for (const std::size_t at : menu_daemons) {
+    fixture.fleet.upstream(at).work = 150ms; // 8 slots each: 213 per second
+  }
+  std::vector<std::uint64_t> tokens;
+  for (int i = 0; i < 400; ++i) { // 640 per second
+    for (std::size_t k = 0; k < 4 + (i % 5 < 2 ? 1 : 0) * 6; ++k) {
+      tokens.push_back(
+          fixture.fleet.call((k + static_cast<std::size_t>(i)) % 8, "shop.example", "/menu/1"));
+    }
+    fixture.fleet.run_for(10ms);
+  }
+  fixture.fleet.run_for(2s);
+  std::size_t served = 0;
+  for (const std::uint64_t token : tokens) {
+    served += fixture.fleet.answers[token].status == status_ok ? 1 : 0;
+  }
+  std::uint64_t refused_offers = 0;
+  for (std::size_t at = 0; at < 8; ++at) {
+    refused_offers += fixture.fleet.daemon(at).totals().runs_refused;
+  }
+  const std::size_t not_served = tokens.size() - served;
+  cr_assert(refused_offers * 2 <= not_served * 3, "%d offers were refused of %zu requests",
+            static_cast<int>(refused_offers), not_served);
+  cr_assert(served >= 4 * 213 * 9 / 10, "%zu served of room for %d", served, 4 * 213);
+}
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -32,6 +32,13 @@
 // a restart of all of them does not make another version the oldest one.
 constexpr std::chrono::seconds version_retention{6};
 
+// Returns the number of requests at the upstream, running or waiting, as far as is known.
+int load_of(const peer_directory::peer& candidate) {
+  const int unreported =
+      std::max(0, candidate.local_in_flight - candidate.reported_local_in_flight);
+  return candidate.report.in_flight + candidate.report.waiting + unreported;
+}
+
 std::optional<duration> route_mean(const peer_report& report, std::uint32_t route_hash) {
   for (const route_latency& item : report.routes) {
     if (item.route_hash == route_hash && item.mean > duration::zero()) {
@@ -226,10 +233,8 @@
                                duration typical) const {
   const peer_report& report = candidate.report;
   const duration service_time = route_mean(report, query.route_hash).value_or(typical);
-  const int unreported =
-      std::max(0, candidate.local_in_flight - candidate.reported_local_in_flight);
   const double limit = std::max(1, report.limit);
-  const double load = report.in_flight + report.waiting + unreported;
+  const double load = load_of(candidate);
   const double excess = std::max(0.0, load + 1.0 - limit);
   const double mean = static_cast<double>(std::max(report.mean_latency, duration{1}).count());
   double expected = static_cast<double>(service_time.count()) + mean * excess / limit;
@@ -268,6 +273,9 @@
       std::find(query.tried.begin(), query.tried.end(), item.first) != query.tried.end()) {
     return false;
   }
+  if (query.requires_free_slot && load_of(candidate) >= std::max(1, report.limit)) {
+    return false;
+  }
   return query.allows_refused || now >= candidate.refused_until ||
          query.rank < candidate.refused_rank;
 }
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -45,6 +45,8 @@
   bool allows_stale = true;           // false excludes peers without recent contact
   // True includes peers that recently refused a request of the same or a higher priority.
   bool allows_refused = false;
+  // True excludes upstreams without a free slot, as far as is known.
+  bool requires_free_slot = false;
   // If set, every daemon selects the same of the eligible upstreams for this key.
   std::optional<std::uint64_t> affinity_key;
 };
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -139,6 +139,10 @@
                                          : static_cast<std::size_t>(size->second);
   // The first attempt ignores recent refusals: capacity may be free again within milliseconds.
   query.allows_refused = pending.attempts == 0;
+  // A request that was refused for want of room is not offered to upstreams that have none either:
+  // the offer would cost its transfer, and the caller the time.
+  query.requires_free_slot = pending.attempts > 0 && pending.last_result.in_flight >= 0 &&
+                             pending.last_result.outcome == run_outcome::not_executed;
   query.allows_version = [this, &pending](const std::string& version) {
     return rollouts_.allows(pending.service, version, pending.uses_new_version);
   };
