--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include "arbutuslb/core/gateway/events.h"
 #include "arbutuslb/core/gateway/peer_directory.h"
 #include "arbutuslb/core/gateway/stop_plan.h"
+#include "arbutuslb/core/routing/hedge_policy.h"
 
 #include <set>
 #include <utility>
@@ -32,6 +33,7 @@
   double exposure_extra = 50;
   int capacity_weight = 1; // capacity relative to the weakest instance; used to assign roles
   duties::usage_settings usage;
+  routing::hedge_settings hedging;
   // Time within which a planned stop completes.
   duration grace_period = std::chrono::seconds{6};
 };
@@ -46,8 +48,10 @@
   std::uint64_t not_found = 0;    // no route matched
   std::uint64_t unauthorized = 0; // without the key of an organisation
   std::uint64_t callers_disconnected = 0;
-  std::uint64_t repeats = 0; // retries after an attempt that may have reached an upstream
-  std::uint64_t runs = 0;    // requests sent to the local upstream
+  std::uint64_t repeats = 0;    // retries after an attempt that may have reached an upstream
+  std::uint64_t hedges = 0;     // of these, since the first attempt took long
+  std::uint64_t hedges_won = 0; // of these, answered by the second attempt
+  std::uint64_t runs = 0;       // requests sent to the local upstream
   std::uint64_t runs_refused = 0;
   std::uint64_t runs_displaced = 0;  // of these, queued before requests of other organisations
   std::uint64_t upstream_deaths = 0; // deaths of the local upstream that interrupted requests
--- a/src/arbutuslb/core/gateway/peer_directory.cc
+++ b/src/arbutuslb/core/gateway/peer_directory.cc
@@ -194,12 +194,16 @@
   view.summarized_at = now;
   duration sum{};
   int usable = 0;
+  int load = 0;
+  int limit = 0;
   std::map<std::uint32_t, std::pair<duration, int>> routes; // sum and number of means, by hash
   for (const host_entry* item : view.members) {
     const peer_report& report = item->second.report;
     if (report.is_usable) {
       sum += report.mean_latency;
       ++usable;
+      load += load_of(item->second);
+      limit += report.limit;
     }
     for (const route_latency& route : report.routes) {
       if (route.mean > duration::zero()) {
@@ -209,6 +213,7 @@
       }
     }
   }
+  view.utilization = limit == 0 ? 1.0 : static_cast<double>(load) / limit;
   view.mean_latency = usable == 0 ? duration{} : sum / usable;
   view.routes.clear();
   for (const auto& [hash, total] : routes) {
@@ -424,6 +429,10 @@
   return summary_of(service, now).mean_latency;
 }
 
+double peer_directory::utilization(std::string_view service, time_point now) const {
+  return summary_of(service, now).utilization;
+}
+
 std::size_t peer_directory::live_count(time_point now) const {
   if (!live_count_ || now - live_counted_at_ >= summary_period) {
     live_counted_at_ = now;
--- a/src/arbutuslb/core/gateway/peer_directory.h
+++ b/src/arbutuslb/core/gateway/peer_directory.h
@@ -100,6 +100,9 @@
   // Returns the mean latency over the usable upstreams of a service; zero if there is none. May be
   // `summary_period` old.
   duration mean_latency(std::string_view service, time_point now) const;
+  // Returns the requests at the usable upstreams of a service as a fraction of what they may
+  // execute at once; 1 if there is none. May be `summary_period` old.
+  double utilization(std::string_view service, time_point now) const;
   // Returns the mean latency of the route over the upstreams that have measured it; if none has,
   // that of the service, or a default. May be
   // `summary_period` old.
@@ -152,6 +155,7 @@
     std::string oldest_version;
     time_point summarized_at{};
     duration mean_latency{};
+    double utilization = 1;
     std::vector<route_latency> routes; // mean over the upstreams that have measured the route
   };
 
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -33,6 +33,8 @@
 // An attempt of an idempotent request is overdue after the target latency of the route or this
 // multiple of the mean latency of the service, whichever is longer.
 constexpr int overdue_latency_multiple = 4;
+// A service with more load has no room for work that is not needed.
+constexpr double max_hedged_utilization = 0.7;
 // Weight of the newest request in the moving average of sizes of its route.
 constexpr double size_weight = 0.1;
 
@@ -89,6 +91,9 @@
   routing::retry_budget& budget = budgets_.try_emplace(incoming.service, max_retries).first->second;
   budget.set_max(max_retries); // the number of daemons changes
   budget.on_call(local_budget_fraction * shared_.settings.retry_ratio);
+  if (incoming.route->is_idempotent && shared_.settings.hedging.extra_share > 0) {
+    hedges_.try_emplace(incoming.route->name, shared_.settings.hedging).first->second.on_request();
+  }
   incoming.suspicion = shared_.containment.find(incoming.content, shared_.now);
   if (shared_.containment.judge(incoming.suspicion) == crash_verdict::refuse) {
     refuse_suspect(incoming);
@@ -282,6 +287,10 @@
     shared_.directory.on_notice(host, pending.current.upstream, *end.result.notice);
   }
   shared_.containment.merge(end.result.suspicion, shared_.now);
+  const auto hedge = hedges_.find(pending.route->name);
+  if (hedge != hedges_.end() && end.result.outcome == run_outcome::answered) {
+    hedge->second.on_answer(shared_.now - pending.current.sent_at);
+  }
   pending.last_result = end.result;
   if (end.result.reached_upstream) {
     ++pending.upstreams_reached;
@@ -294,6 +303,8 @@
   }
   const bool is_answered = end.result.outcome == run_outcome::answered;
   if (is_answered && end.result.answer.status < first_error_status) {
+    const bool has_second_won = pending.current.sent_at > pending.overdue->sent_at;
+    shared_.totals.hedges_won += pending.is_hedged && has_second_won ? 1 : 0;
     cancel(*pending.overdue);
     pending.overdue.reset();
     finish(pending);
@@ -512,12 +523,13 @@
   }
 }
 
-bool request_router::is_overdue(const pending_call& pending, bool has_peer_contact) const {
+request_router::second_attempt request_router::needs_second_attempt(const pending_call& pending,
+                                                                    bool has_peer_contact) const {
   if (!pending.route->is_idempotent || pending.overdue || shared_.is_stopping ||
       shared_.containment.judge(pending.suspicion) != crash_verdict::run ||
       pending.attempts >= max_attempts ||
       pending.upstreams_reached + 1 >= pending.route->max_upstreams) {
-    return false;
+    return second_attempt::none;
   }
   const duration mean = shared_.directory.mean_latency(pending.service, shared_.now);
   const duration overdue_after =
@@ -525,56 +537,75 @@
   const duration elapsed = shared_.now - pending.current.sent_at;
   const duration left = pending.deadline - shared_.now;
   if (elapsed >= overdue_after && left >= 2 * mean) {
-    return true;
+    return second_attempt::overdue;
   }
   const auto peer = shared_.directory.peers().find(pending.current.host);
   const bool is_unresponsive = peer == shared_.directory.peers().end() ||
                                shared_.now - peer->second.last_contact >= unresponsive_peer_timeout;
-  return is_unresponsive && has_peer_contact && left > mean;
+  if (is_unresponsive && has_peer_contact && left > mean) {
+    return second_attempt::overdue;
+  }
+  return left >= 2 * mean && is_hedge_due(pending) ? second_attempt::hedge : second_attempt::none;
 }
 
-void request_router::send_second_attempt(std::uint64_t attempt) {
+bool request_router::is_hedge_due(const pending_call& pending) const {
+  const auto policy = hedges_.find(pending.route->name);
+  return policy != hedges_.end() && policy->second.is_due(shared_.now - pending.current.sent_at) &&
+         shared_.directory.utilization(pending.service, shared_.now) <= max_hedged_utilization;
+}
+
+void request_router::send_second_attempt(std::uint64_t attempt, second_attempt reason) {
+  const bool is_hedge = reason == second_attempt::hedge;
   pending_call& waiting = pending_.at(attempt);
   upstream_query query = query_for(waiting);
   query.allows_stale = false;
+  query.requires_free_slot = query.requires_free_slot || is_hedge;
   // A faulty new version costs a request one attempt at most.
   query.allows_version = [this, &waiting](const std::string& version) {
     return rollouts_.allows(waiting.service, version, false);
   };
   const std::optional<std::string> host = shared_.directory.choose(
       query, shared_.operator_records.withdrawn_domains(), shared_.now, shared_.random);
-  if (!host || !budgets_[waiting.service].take()) {
+  if (!host || !budgets_[waiting.service].has_token()) {
     return; // the attempt continues
   }
+  if (is_hedge && !hedges_.at(waiting.route->name).take()) {
+    return;
+  }
+  budgets_[waiting.service].take();
   pending_call pending = std::move(*take(attempt));
   // A peer that has sent a report or an answer since is slow, not unreachable.
-  if (!shared_.directory.has_contact_since(pending.current.host, pending.current.sent_at)) {
+  if (!is_hedge &&
+      !shared_.directory.has_contact_since(pending.current.host, pending.current.sent_at)) {
     shared_.directory.on_unreachable(pending.current.host, shared_.now);
   }
   pending.uses_new_version = false;
   pending.overdue = pending.current;
-  log_repetition(pending, *host, "no answer in time");
+  pending.is_hedged = is_hedge;
+  shared_.totals.hedges += is_hedge ? 1 : 0;
+  log_repetition(pending, *host, is_hedge ? "slower than most" : "no answer in time");
   send(std::move(pending), *host);
 }
 
 void request_router::on_tick() {
   std::vector<std::uint64_t> timed_out;
-  std::vector<std::uint64_t> overdue;
+  std::vector<std::pair<std::uint64_t, second_attempt>> second_attempts;
   // If most peers are silent, this daemon itself may be slow or cut off, and not its peers.
   const bool has_peer_contact =
       shared_.directory.live_count(shared_.now) * 2 > shared_.directory.peers().size();
   for (const auto& [attempt, pending] : pending_) {
     if (shared_.now >= pending.deadline + answer_grace_period) {
       timed_out.push_back(attempt);
-    } else if (is_overdue(pending, has_peer_contact)) {
-      overdue.push_back(attempt);
+    } else if (const second_attempt reason = needs_second_attempt(pending, has_peer_contact);
+               reason != second_attempt::none) {
+      second_attempts.emplace_back(attempt, reason);
     }
   }
   for (const std::uint64_t attempt : timed_out) {
     give_up(attempt, "deadline passed");
   }
-  for (const std::uint64_t attempt : overdue) {
-    send_second_attempt(attempt);
+  for (const auto& [attempt, reason] : second_attempts) {
+    send_second_attempt(attempt, reason);
   }
 }
 
--- a/src/arbutuslb/core/gateway/request_router.h
+++ b/src/arbutuslb/core/gateway/request_router.h
@@ -7,9 +7,9 @@
 // that the retry was to improve on. An unknown outcome is answered with 502, or with 504 after the
 // deadline.
 //
-// An idempotent request whose attempt takes long is sent to a second upstream, and the first answer
-// counts. The earlier attempt continues until then: nothing that runs is given up before something
-// better is known.
+// An idempotent request whose attempt takes long (hedge_policy.h) is sent to a second upstream, and
+// the first answer counts. The earlier attempt continues until then: nothing that runs is given up
+// before something better is known.
 #pragma once
 
 #include "arbutuslb/core/gateway/gateway_context.h"
@@ -73,6 +73,7 @@
     open_attempt current; // or the last one, if it has completed
     // Attempt that was sent before the current one and has not completed either.
     std::optional<open_attempt> overdue;
+    bool is_hedged = false;         // `overdue` was not late yet when the current one was sent
     std::vector<std::string> tried; // hosts of all attempts
     int attempts = 0;               // including the current one
     int upstreams_reached = 0;      // attempts that an upstream received or may have received
@@ -108,10 +109,17 @@
   std::optional<pending_call> take(std::uint64_t attempt);
   void retry_or_finish(pending_call pending);
   bool is_retry_allowed(const pending_call& pending);
-  // Returns true if the attempt has taken so long that a second one elsewhere is worthwhile.
-  bool is_overdue(const pending_call& pending, bool has_peer_contact) const;
+  // Why a second attempt is sent while the first one goes on.
+  enum class second_attempt : std::uint8_t {
+    none,
+    hedge,  // the first has taken longer than nearly all others
+    overdue // the first will be late, or its peer is silent
+  };
+  // Returns whether the attempt has taken so long that a second one elsewhere is worthwhile.
+  second_attempt needs_second_attempt(const pending_call& pending, bool has_peer_contact) const;
+  bool is_hedge_due(const pending_call& pending) const;
   // Sends a second attempt of an overdue request if the retry budget and an upstream allow it.
-  void send_second_attempt(std::uint64_t attempt);
+  void send_second_attempt(std::uint64_t attempt, second_attempt reason);
   void update_mean_size(const pending_call& pending);
   void finish(const pending_call& pending);
   void finish_with_status(const pending_call& pending, int status, const std::string& reason,
@@ -134,6 +142,7 @@
   std::map<std::string, weighted_split> splits_;         // by route
   std::map<std::string, double> mean_sizes_;             // request and answer in bytes, by route
   std::map<std::string, routing::retry_budget> budgets_; // by service
+  std::map<std::string, routing::hedge_policy> hedges_;  // by route
   std::map<std::uint64_t, pending_call> pending_;        // by current attempt
   std::map<std::uint64_t, std::uint64_t> overdue_;       // current attempt, by overdue one
   std::map<std::uint64_t, std::uint64_t> attempts_by_token_; // by the caller's token
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -266,6 +266,7 @@
   added.settings.cold_load_factor = cold_load_factor;
   added.settings.cold_load_extra = cold_load_extra;
   added.settings.usage = usage;
+  added.settings.hedging = hedging;
   added.settings.upstream_address = added.settings.host + ":80";
   added.upstream_started_ms = 1000 + static_cast<std::int64_t>(index);
   running_now.push_back(0);
--- a/src/arbutuslb/fakes/gateway_fleet.h
+++ b/src/arbutuslb/fakes/gateway_fleet.h
@@ -117,6 +117,7 @@
   bool is_store_down = false;
   bool is_collector_down = false;               // answers no usage report, but receives it
   core::duties::usage_settings usage;           // for daemons that are added later
+  core::routing::hedge_settings hedging;        // for daemons that are added later
   std::vector<received_usage> usage_reports;    // that the platform has received
   std::map<std::size_t, core::duration> clocks; // error of the daemon's time of day, by daemon
   double cold_load_factor = 1.0;                // for daemons that are added later
--- a/src/arbutuslb/runtime/gateway_metrics.cc
+++ b/src/arbutuslb/runtime/gateway_metrics.cc
@@ -25,6 +25,8 @@
   write_counter(out, "calls_unauthorized_total", totals.unauthorized);
   write_counter(out, "callers_left_total", totals.callers_disconnected);
   write_counter(out, "repeats_total", totals.repeats);
+  write_counter(out, "hedges_total", totals.hedges);
+  write_counter(out, "hedges_won_total", totals.hedges_won);
   write_counter(out, "runs_total", totals.runs);
   write_counter(out, "runs_refused_total", totals.runs_refused);
   write_counter(out, "runs_displaced_total", totals.runs_displaced);
--- a/src/arbutuslb/runtime/gateway_settings.cc
+++ b/src/arbutuslb/runtime/gateway_settings.cc
@@ -26,6 +26,7 @@
 constexpr std::size_t megabyte = std::size_t{1024} * 1024;
 constexpr double max_link_mbps = 1e9;
 constexpr std::chrono::seconds min_usage_time{1};
+constexpr double min_hedged_quantile = 0.5;
 
 asio::ip::tcp::endpoint read_address(object_reader& reader, std::string_view key,
                                      finding_list& findings) {
@@ -123,6 +124,13 @@
   limits_reader.finish();
   settings.core.capacity_weight =
       static_cast<int>(std::min(cores / reference_cores, link_mbps / reference_link_mbps));
+  const object_reader::element hedging = reader.optional_object("hedging");
+  object_reader hedging_reader(*hedging.value, hedging.place, findings);
+  settings.core.hedging.extra_share =
+      hedging_reader.optional_number("extra_share", settings.core.hedging.extra_share, 0.0, 1.0);
+  settings.core.hedging.quantile = hedging_reader.optional_number(
+      "quantile", settings.core.hedging.quantile, min_hedged_quantile, 1.0);
+  hedging_reader.finish();
   read_usage(reader, settings, findings);
   settings.core.grace_period = reader.optional_duration("grace_period", settings.core.grace_period);
   reader.finish();
