Counters of usage are sent again also after a late tick; all edges share the memory budget

Cause: the second sending after a window's end depended on a tick within 20 ms of its time; the edges for heartbeats, readiness and metrics had no share of the budget. Change: the window that was last sent again is remembered; all servers take the budget. Measured: core and runtime tests pass.

--- a/src/arbutuslb/core/gateway/usage_service.cc
+++ b/src/arbutuslb/core/gateway/usage_service.cc
@@ -93,8 +93,8 @@
     next_send_ = std::min(next_send_, shared_.now);
   }
   const time_point resent_at = duties::window_end(ended, length) + resend_delay;
-  const bool is_resend_due = true_time() >= resent_at && true_time() < resent_at + tick_period;
-  if (is_resend_due) {
+  if (resent_window_ < ended && true_time() >= resent_at) {
+    resent_window_ = ended;
     counter_.resend_all();
   }
 }
--- a/src/arbutuslb/core/gateway/usage_service.h
+++ b/src/arbutuslb/core/gateway/usage_service.h
@@ -46,6 +46,7 @@
   duties::usage_duty duty_;
   std::vector<std::string> collectors_;                // hosts; the first one has the duty
   std::optional<duties::window_number> next_complete_; // window to be completed next
+  duties::window_number resent_window_ = 0; // last one after whose end all counters were sent again
   time_point next_update_{};
   time_point next_send_{};
   bool was_holder_ = false;
--- a/src/arbutuslb/runtime/gateway_host.cc
+++ b/src/arbutuslb/runtime/gateway_host.cc
@@ -122,17 +122,20 @@
                   {[this](std::uint64_t token, const core::http_request& request) {
                      on_upstream_call(token, request);
                    },
-                   [](std::uint64_t) {}}),
+                   [](std::uint64_t) {}},
+                  memory),
         readiness(loop, values.readiness,
                   {[this](std::uint64_t token, const core::http_request& request) {
                      on_readiness(token, request);
                    },
-                   [](std::uint64_t) {}}),
+                   [](std::uint64_t) {}},
+                  memory),
         metrics(loop, values.metrics,
                 {[this](std::uint64_t token, const core::http_request&) {
                    metrics.respond(token, plain_response(status_ok, render_metrics()));
                  },
-                 [](std::uint64_t) {}}),
+                 [](std::uint64_t) {}},
+                memory),
         reports(loop, udp::endpoint(values.peers.address(), values.report_port)) {
     reports.non_blocking(true);
     write_event(core::engine::severity::info, "started",
