--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -571,9 +571,8 @@
     if (largest == connections.end() || (*largest)->unread_bytes() <= budget->guaranteed()) {
       return;
     }
-    const std::shared_ptr<connection> closed{*largest}; // keeps it while it closes
-    report_out_of_memory(closed->unread_bytes());
-    closed->close();
+    report_out_of_memory((*largest)->unread_bytes());
+    (*largest)->close(); // removes it from `connections`
   }
 }
 
