The fuzzer of answers checks only what is passed on

Its result is 'unknown', so nothing is passed on; the check read the empty answer of that result, with status 0, which is no readable answer since invalid statuses are rejected. Change: the check applies to results with the outcome 'answered', as its text says, and also requires a status from 100 to 599 of them.

--- a/src/arbutuslb/fuzz/http_answer_fuzzer.cc
+++ b/src/arbutuslb/fuzz/http_answer_fuzzer.cc
@@ -44,7 +44,11 @@
     require(id == nullptr || *id == "mine" || owner != answer_owner::this_request,
             "an answer of another attempt is not taken");
     const arbutuslb::core::gateway::run_result result = arbutuslb::platform::decode_answer(answer);
+    if (result.outcome != arbutuslb::core::gateway::run_outcome::answered) {
+      continue; // nothing is passed on
+    }
     const arbutuslb::core::http_response& passed_on = result.answer;
+    require(passed_on.status >= 100 && passed_on.status <= 599, "its status has a class");
     const auto again = read_all(serialize(passed_on, false), 64);
     require(!again.has_failed || arbutuslb::fuzz::has_refused_field(passed_on.headers),
             "an answer that is passed on can be read");
