--- a/review/stand_ins_2/behind_answer.cc
+++ b/review/stand_ins_2/behind_answer.cc
@@ -1,7 +1,7 @@
-// A machine gets SIGTERM. Clients on it keep their connections, read slowly, and send a further safe
-// request before the answer to the one before it has arrived.
-// Checked: no request that the process has read and passed on to an endpoint ends with a closed
-// connection and no answer (LOST, planned work).
+// A machine gets SIGTERM. Clients on it keep their connections, read slowly, and send a further
+// safe request before the answer to the one before it has arrived. Checked: no request that the
+// process has read and passed on to an endpoint ends with a closed connection and no answer (LOST,
+// planned work).
 
 #include "kit.h"
 
@@ -78,10 +78,9 @@
         if (item.id == id) {
           item.answered = now_s();
           item.status = std::atoi(bytes.c_str() + 9);
-          record.line("client %d gets %s status=%d closes=%s", self.number, item.id.c_str(),
-                      item.status,
-                      bytes.substr(0, end).find("Connection: close") == std::string::npos ? "no"
-                                                                                         : "yes");
+          record.line(
+              "client %d gets %s status=%d closes=%s", self.number, item.id.c_str(), item.status,
+              bytes.substr(0, end).find("Connection: close") == std::string::npos ? "no" : "yes");
         }
       }
       bytes.erase(0, end + 4 + size);
--- a/review/stand_ins_2/endless_bodies.cc
+++ b/review/stand_ins_2/endless_bodies.cc
@@ -1,7 +1,7 @@
-// Two endpoints are in trouble: the bodies of half of their answers come without end until the caller
-// closes. The platform kills a process that exceeds the memory of its machine, and starts it again.
-// Checked: the processes don't end so (Fault: on a tenth of the machines in use, two at least,
-// processes end by themselves three times, memory over the limit counts).
+// Two endpoints are in trouble: the bodies of half of their answers come without end until the
+// caller closes. The platform kills a process that exceeds the memory of its machine, and starts it
+// again. Checked: the processes don't end so (Fault: on a tenth of the machines in use, two at
+// least, processes end by themselves three times, memory over the limit counts).
 
 #include "kit.h"
 
@@ -11,10 +11,10 @@
 
 namespace {
 
-constexpr int memory_mb = 110;               // memoryMb of the machines
-constexpr double trouble_time = 40;          // seconds
-constexpr double body_bytes_per_s = 25e6;    // of one endless body
-constexpr int requests_per_s = 60;           // of each machine with callers
+constexpr int memory_mb = 110;            // memoryMb of the machines
+constexpr double trouble_time = 40;       // seconds
+constexpr double body_bytes_per_s = 25e6; // of one endless body
+constexpr int requests_per_s = 60;        // of each machine with callers
 constexpr int time_budget_ms = 2000;
 
 long resident_kb(int pid) {
@@ -87,13 +87,12 @@
   std::vector<std::thread> threads;
   const auto send = [&](const machine& origin, const std::string& method, const std::string& path,
                         const std::string& id) {
-    const attempt value = call(origin.host, method, path, id, time_budget_ms,
-                               method == "GET" ? "" : "amount");
+    const attempt value =
+        call(origin.host, method, path, id, time_budget_ms, method == "GET" ? "" : "amount");
     record.line("client at %s sent=%s status=%d %s", origin.name.c_str(), id.c_str(), value.status,
                 value.outcome.c_str());
     const std::lock_guard lock(mutex);
-    ++outcomes[method + " " +
-               (value.status > 0 ? std::to_string(value.status) : value.outcome)];
+    ++outcomes[method + " " + (value.status > 0 ? std::to_string(value.status) : value.outcome)];
   };
   const double begin = now_s();
   is_in_trouble = has_trouble();
--- a/review/stand_ins_2/kit.h
+++ b/review/stand_ins_2/kit.h
@@ -355,8 +355,8 @@
         }
       }
       return reply("200 OK", json,
-                   "{\"items\":[" + items + "],\"more\":false,\"endOffset\":" +
-                       std::to_string(records.size()) + "}");
+                   "{\"items\":[" + items +
+                       "],\"more\":false,\"endOffset\":" + std::to_string(records.size()) + "}");
     }
     return reply("404 Not Found", json, "{}");
   }
@@ -419,8 +419,8 @@
                          " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
                          "Connection: close\r\nContent-Length: " +
                          std::to_string(body.size()) + "\r\n\r\n" + body);
-        is_acknowledged = input.read(answer, now_s() + 1) == read_outcome::message &&
-                          answer.status() / 100 == 2;
+        is_acknowledged =
+            input.read(answer, now_s() + 1) == read_outcome::message && answer.status() / 100 == 2;
         ::close(fd);
       }
       sleep_s(is_acknowledged ? 1.5 : 0.2);
@@ -441,8 +441,8 @@
       {
         const std::lock_guard lock(mutex_);
         index = runs_.size();
-        runs_.push_back({id, request.target(), request.header("X-Calling-Service"), instance,
-                         now_s(), 0});
+        runs_.push_back(
+            {id, request.target(), request.header("X-Calling-Service"), instance, now_s(), 0});
       }
       record.line("run id=%s at=%s path=%s calling_service=%s remaining_ms=%s", id.c_str(),
                   instance.c_str(), request.target().c_str(),
@@ -497,19 +497,20 @@
     log_ = folder + "/" + name + ".log";
     std::FILE* file = std::fopen(path_.c_str(), "w");
     const char* h = host.c_str();
-    std::fprintf(file,
-                 "{\"instance\": \"%s\", \"failure_domain\": \"%s\",\n"
-                 " \"listen\": {\"callers\": \"%s:%d\", \"peers\": \"%s:%d\", \"upstreams\": "
-                 "\"%s:%d\", \"readiness\": \"%s:%d\", \"metrics\": \"%s:%d\", \"report_port\": %d},\n"
-                 " \"upstream\": {\"address\": \"%s:%d\", \"service\": \"%s\", "
-                 "\"cold_load_factor\": 1.5, \"cold_load_extra\": 5},\n"
-                 " \"instance_limits\": {\"cores\": 0.2, \"link_mbps\": 1000, \"memory_mb\": %d},\n"
-                 " \"store\": \"%s:%d\", \"retries\": {\"ratio\": 0.2, \"extra\": 60},\n"
-                 " \"rollouts\": {\"exposure_share\": 0.1, \"exposure_extra\": 50},\n"
-                 " \"grace_period\": \"6s\"}\n",
-                 name.c_str(), zone.c_str(), h, callers_port, h, peers_port, h, control_port, h,
-                 ready_port, h, metrics_port, report_port, h, app_port, service.c_str(), memory_mb,
-                 store_host.c_str(), store_port);
+    std::fprintf(
+        file,
+        "{\"instance\": \"%s\", \"failure_domain\": \"%s\",\n"
+        " \"listen\": {\"callers\": \"%s:%d\", \"peers\": \"%s:%d\", \"upstreams\": "
+        "\"%s:%d\", \"readiness\": \"%s:%d\", \"metrics\": \"%s:%d\", \"report_port\": %d},\n"
+        " \"upstream\": {\"address\": \"%s:%d\", \"service\": \"%s\", "
+        "\"cold_load_factor\": 1.5, \"cold_load_extra\": 5},\n"
+        " \"instance_limits\": {\"cores\": 0.2, \"link_mbps\": 1000, \"memory_mb\": %d},\n"
+        " \"store\": \"%s:%d\", \"retries\": {\"ratio\": 0.2, \"extra\": 60},\n"
+        " \"rollouts\": {\"exposure_share\": 0.1, \"exposure_extra\": 50},\n"
+        " \"grace_period\": \"6s\"}\n",
+        name.c_str(), zone.c_str(), h, callers_port, h, peers_port, h, control_port, h, ready_port,
+        h, metrics_port, report_port, h, app_port, service.c_str(), memory_mb, store_host.c_str(),
+        store_port);
     std::fclose(file);
   }
   void start() {
--- a/review/stand_ins_2/odd_heads.cc
+++ b/review/stand_ins_2/odd_heads.cc
@@ -37,9 +37,9 @@
   deployment site;
   site.add("amman-a", "checkout");
   site.add("amman-b", "checkout");
-  if (!site.start(configuration(route("pay", "unsafe", "checkout", "1200ms", 0),
-                                service_entry("checkout")),
-                  {"/pay/1"})) {
+  if (!site.start(
+          configuration(route("pay", "unsafe", "checkout", "1200ms", 0), service_entry("checkout")),
+          {"/pay/1"})) {
     record.line("could not start");
     finish(site, could_not_run);
   }
@@ -54,8 +54,8 @@
   std::thread ordinary([&] {
     for (int i = 0; now_s() < end; ++i) {
       threads.emplace_back([&, i] {
-        const attempt value = call(met.host, "POST", "/pay/1", "q-" + std::to_string(i),
-                                   time_budget_ms, "amount");
+        const attempt value =
+            call(met.host, "POST", "/pay/1", "q-" + std::to_string(i), time_budget_ms, "amount");
         record.line("client sent=%s at=%.3f status=%d %s after_ms=%.0f", value.id.c_str(),
                     value.sent, value.status, value.outcome.c_str(),
                     1000 * (value.ended - value.sent));
--- a/review/stand_ins_2/open_bodies.cc
+++ b/review/stand_ins_2/open_bodies.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr int descriptors = 4100;         // fileDescriptors of the machine
-constexpr double stability_window = 3.0;  // seconds
+constexpr int descriptors = 4100;        // fileDescriptors of the machine
+constexpr double stability_window = 3.0; // seconds
 constexpr int time_budget_ms = 2500;
 
 } // namespace
@@ -27,9 +27,9 @@
   deployment site;
   site.add("amman-a", "checkout", descriptors);
   site.add("amman-b", "checkout", descriptors);
-  if (!site.start(configuration(route("pay", "unsafe", "checkout", "1200ms", 0),
-                                service_entry("checkout")),
-                  {"/pay/1"})) {
+  if (!site.start(
+          configuration(route("pay", "unsafe", "checkout", "1200ms", 0), service_entry("checkout")),
+          {"/pay/1"})) {
     record.line("could not start");
     finish(site, could_not_run);
   }
@@ -45,8 +45,8 @@
     while (now_s() < end) {
       message answer;
       send_all(ready_fd, "GET /readiness HTTP/1.1\r\nHost: ready\r\n\r\n");
-      const bool is_ready = ready_input.read(answer, now_s() + 1) == read_outcome::message &&
-                            answer.status() == 200;
+      const bool is_ready =
+          ready_input.read(answer, now_s() + 1) == read_outcome::message && answer.status() == 200;
       (is_ready ? ready : not_ready) += 1;
       record.line("readiness: %d", is_ready ? 200 : 0);
       sleep_s(1);
@@ -58,8 +58,8 @@
   std::thread ordinary([&] {
     for (int i = 0; now_s() < end; ++i) {
       threads.emplace_back([&, i] {
-        const attempt value = call(met.host, "POST", "/pay/1", "q-" + std::to_string(i),
-                                   time_budget_ms, "amount");
+        const attempt value =
+            call(met.host, "POST", "/pay/1", "q-" + std::to_string(i), time_budget_ms, "amount");
         record.line("client sent=%s at=%.3f status=%d %s after_ms=%.0f", value.id.c_str(),
                     value.sent, value.status, value.outcome.c_str(),
                     1000 * (value.ended - value.sent));
