--- a/review/stand_ins_2/endless_bodies.cc
+++ b/review/stand_ins_2/endless_bodies.cc
@@ -5,14 +5,17 @@
 
 #include "kit.h"
 
+#include <cmath>
 #include <fstream>
 
 using namespace kit;
 
 namespace {
 
-constexpr int memory_mb = 110;            // memoryMb of the machines
-constexpr double trouble_time = 40;       // seconds
+constexpr int memory_mb = 110; // memoryMb of the machines
+constexpr double spell = 5.5;  // seconds of trouble, as the site's `garble`
+constexpr double calm = 4.5;   // seconds between two spells
+constexpr int spells = 5;
 constexpr double body_bytes_per_s = 25e6; // of one endless body
 constexpr int requests_per_s = 60;        // of each machine with callers
 constexpr int time_budget_ms = 2000;
@@ -40,8 +43,9 @@
   }
   std::atomic<bool> is_in_trouble = false;
   std::atomic<unsigned> answers = 0;
-  for (endpoint& item : site.endpoints) {
-    item.plan = [&](const message& request) {
+  // The endpoints of preview; none is spared.
+  for (const std::size_t number : {std::size_t{0}, std::size_t{2}}) {
+    site.endpoints[number].plan = [&](const message& request) {
       endpoint::job value;
       const bool is_view = request.target().rfind("/view/", 0) == 0;
       if (is_in_trouble && is_view && ++answers % 2 == 0) { // every second answer
@@ -95,9 +99,12 @@
     ++outcomes[method + " " + (value.status > 0 ? std::to_string(value.status) : value.outcome)];
   };
   const double begin = now_s();
-  is_in_trouble = has_trouble();
-  record.line("trouble: %s", is_in_trouble ? "begins" : "none");
-  for (int i = 0; now_s() < begin + trouble_time; ++i) {
+  for (int i = 0; now_s() < begin + spells * (spell + calm); ++i) {
+    const bool is_spell = std::fmod(now_s() - begin, spell + calm) < spell && has_trouble();
+    if (is_spell != is_in_trouble) {
+      is_in_trouble = is_spell;
+      record.line("trouble %s", is_spell ? "begins" : "ends");
+    }
     for (const std::size_t origin : {std::size_t{1}, std::size_t{3}}) {
       threads.emplace_back([&, i, origin] {
         send(site.machines[origin], "GET", "/view/1",
--- a/review/stand_ins_2/open_bodies.cc
+++ b/review/stand_ins_2/open_bodies.cc
@@ -5,6 +5,8 @@
 
 #include "kit.h"
 
+#include <sys/prctl.h>
+
 using namespace kit;
 
 namespace {
@@ -12,6 +14,7 @@
 constexpr int descriptors = 4100;        // fileDescriptors of the machine
 constexpr double stability_window = 3.0; // seconds
 constexpr int time_budget_ms = 2500;
+constexpr int crowd_processes = 10;
 
 } // namespace
 
@@ -21,7 +24,8 @@
   allow_descriptors();
   rlimit limit{};
   ::getrlimit(RLIMIT_NOFILE, &limit);
-  if (limit.rlim_cur < static_cast<rlim_t>(crowd_size) + 1000) {
+  if (limit.rlim_max < descriptors) {
+    record.line("this machine allows a process fewer descriptors than the deployment's");
     return could_not_run;
   }
   deployment site;
@@ -70,30 +74,64 @@
     }
   });
   sleep_until_s(begin + 4);
-  std::vector<int> crowd;
   const double crowd_at = now_s();
+  std::vector<pid_t> crowd;
   if (has_trouble()) {
     const std::string bytes = "POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\n"
                               "X-Attempt-Identifier: odd\r\nContent-Length: 24000\r\n\r\n" +
                               std::string(4000, 'x');
-    for (int i = 0; i < crowd_size; ++i) {
-      const int fd = connect_to(met.host, callers_port, 0.2);
-      if (fd >= 0) {
-        ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-        crowd.push_back(fd);
-      }
-      if (now_s() > crowd_at + 4) {
-        break;
+    const sockaddr_in address = address_of(met.host, callers_port);
+    int ready_pipe[2] = {-1, -1};
+    if (::pipe(ready_pipe) != 0) {
+      finish(site, could_not_run);
+    }
+    // Processes of their own, which need fewer descriptors each.
+    for (int i = 0; i < crowd_processes; ++i) {
+      const pid_t child = ::fork();
+      if (child == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        // Nothing of the parent's connections stays open here.
+        ::dup2(ready_pipe[1], 3);
+        for (int fd = 4; fd < 70000; ++fd) {
+          ::close(fd);
+        }
+        int open = 0;
+        for (int k = 0; k < crowd_size / crowd_processes; ++k) {
+          const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+          if (fd >= 0 &&
+              ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
+            ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            ++open;
+          }
+        }
+        const ssize_t written = ::write(3, &open, sizeof open);
+        while (written > 0) {
+          ::pause();
+        }
+        ::_exit(1);
       }
+      crowd.push_back(child);
     }
-    record.line("crowd: %zu connections, each has sent 4000 bytes of a body of 24000, in %.1f s",
-                crowd.size(), now_s() - crowd_at);
+    ::close(ready_pipe[1]);
+    std::thread([fd = ready_pipe[0], crowd_at] {
+      int open = 0;
+      while (::read(fd, &open, sizeof open) == sizeof open) {
+        record.line(
+            "crowd: %d more connections, each has sent 4000 bytes of a body of 24000, %.1f s "
+            "after it began",
+            open, now_s() - crowd_at);
+      }
+    }).detach();
   }
   ordinary.join();
   for (std::thread& item : threads) {
     item.join();
   }
   readiness.join();
+  for (const pid_t child : crowd) {
+    ::kill(child, SIGKILL);
+    ::waitpid(child, nullptr, 0);
+  }
   std::sort(attempts.begin(), attempts.end(),
             [](const attempt& one, const attempt& other) { return one.sent < other.sent; });
   // The longest span in which clients tried and none got an answer on a new connection.
