--- a/review/stand_ins_2/open_bodies.cc
+++ b/review/trials/open_bodies.cc
@@ -3,7 +3,7 @@
 // Checked: a machine in touch that says it is ready takes new connections (RECOVER, over
 // stabilityWindow while seven clients or more try), and ordinary callers still get answers.
 
-#include "kit.h"
+#include "../stand_ins_2/kit.h"
 
 #include <sys/prctl.h>
 
