An answer without a length is incomplete if its request was not received whole

Cause: the write of the request fails first and takes the error of the socket (ECONNRESET). The read behind it returns 0, which the client took for an orderly end of the stream, and so for the end of an answer that is delimited by it. A close with bytes of the request unread is a reset too.

Change: such an answer counts only if the write did not fail and the peer has acknowledged the whole request (SIOCOUTQ) when the stream ends. While the last bytes are being written, the decision waits for the end of the write. A connection whose write failed is not reused. Answers with a length and chunked ones carry their own end and are accepted early, as before.

This works since the end of the stream is no evidence before the server has the request, whichever call sees the error first, and every other way of delimiting an answer does not depend on it.

--- /dev/null
+++ b/src/arbutuslb/runtime/http/broken_answer_test.cc
@@ -0,0 +1,153 @@
+// Tests of the HTTP client with servers in trouble: answers that break off, and bytes that are no
+// answer. Sockets are on loopback; no test depends on timing.
+
+#include "arbutuslb/runtime/http/http_test_fixture.h"
+
+#include <array>
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace arbutuslb::runtime::http;
+using namespace std::chrono_literals;
+namespace core = arbutuslb::core;
+using asio::ip::tcp;
+
+// More than the kernel buffers on a connection to `early_server`.
+constexpr std::size_t upload_size = std::size_t{8} * 1024 * 1024;
+
+enum class connection_end : std::uint8_t {
+  reset,        // at once
+  late_reset,   // some time after the answer
+  close_unread, // close with unread input, which the kernel turns into a reset
+  half_close    // an orderly end; the request is not read further
+};
+
+// Accepts one connection, reads a part of the request, answers, and ends the connection.
+class early_server {
+public:
+  early_server(asio::io_context& loop, std::string answer, connection_end end,
+               std::size_t request_bytes = 1)
+      : acceptor_(loop), timer_(loop), answer_(std::move(answer)), end_(end),
+        unread_bytes_(request_bytes) {
+    const tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
+    acceptor_.open(any_port.protocol());
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(16 * 1024));
+    acceptor_.bind(any_port);
+    acceptor_.listen();
+    acceptor_.async_accept([this](std::error_code, tcp::socket accepted) {
+      socket_ = std::move(accepted);
+      read();
+    });
+  }
+  tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+private:
+  void read() {
+    socket_->async_read_some(asio::buffer(request_), [this](std::error_code, std::size_t size) {
+      unread_bytes_ -= std::min(unread_bytes_, size);
+      if (unread_bytes_ > 0) {
+        read();
+      } else {
+        respond();
+      }
+    });
+  }
+  void respond() {
+    asio::write(*socket_, asio::buffer(answer_));
+    if (end_ == connection_end::half_close) {
+      socket_->shutdown(tcp::socket::shutdown_send);
+      return;
+    }
+    if (end_ != connection_end::late_reset) {
+      end_connection();
+      return;
+    }
+    timer_.expires_after(50ms);
+    timer_.async_wait([this](std::error_code) { end_connection(); });
+  }
+  void end_connection() {
+    if (end_ != connection_end::close_unread) {
+      socket_->set_option(asio::socket_base::linger(true, 0));
+    }
+    socket_->close();
+  }
+
+  tcp::acceptor acceptor_;
+  asio::steady_timer timer_;
+  std::optional<tcp::socket> socket_;
+  std::array<char, 4096> request_{};
+  std::string answer_;
+  connection_end end_;
+  std::size_t unread_bytes_; // of the request, before the answer
+};
+
+core::http_request upload_request(std::size_t size) {
+  core::http_request request = get_request("/upload");
+  request.method = "POST";
+  request.body.assign(size, 'x');
+  return request;
+}
+
+// Sends an upload to a server that reads some of it, answers, and ends the connection. Returns how
+// the exchange ends.
+exchange_result upload_to(const std::string& answer, connection_end end,
+                          std::size_t read_bytes = 1) {
+  server_fixture fixture;
+  early_server server(fixture.loop, answer, end, read_bytes);
+  client sender(fixture.loop);
+  std::optional<exchange_result> result;
+  sender.send(server.address(), upload_request(upload_size), {},
+              [&](exchange_result value) { result = std::move(value); });
+  fixture.run_until([&] { return result.has_value(); });
+  return std::move(*result);
+}
+
+} // namespace
+
+// Guards against a part of an answer that is passed on as a whole one: the failed write of the
+// request took the error of the socket, so that the reset looked like the end of the answer.
+Test(broken_answer, one_without_length_is_incomplete_if_its_request_was_not_written) {
+  for (const char* head :
+       {"HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\npart",
+        "HTTP/1.1 500 Internal Server Error\r\n\r\npart"}) {
+    for (const connection_end end : {connection_end::reset, connection_end::late_reset,
+                                     connection_end::close_unread, connection_end::half_close}) {
+      const exchange_result result = upload_to(head, end);
+      cr_expect(result.outcome == exchange_outcome::broken, "%s, end %d", head,
+                static_cast<int>(end));
+      cr_expect(result.answer.body.empty());
+    }
+  }
+}
+
+Test(broken_answer, one_without_length_is_whole_if_its_request_was_read) {
+  const std::size_t size = serialize(upload_request(upload_size)).size();
+  const exchange_result result =
+      upload_to("HTTP/1.1 200 OK\r\n\r\nwhole", connection_end::half_close, size);
+  cr_expect(result.outcome == exchange_outcome::answered);
+  cr_expect_eq(result.answer.body, "whole");
+}
+
+Test(broken_answer, a_whole_early_one_with_a_length_is_passed_on) {
+  for (const connection_end end : {connection_end::late_reset, connection_end::half_close}) {
+    const exchange_result result =
+        upload_to("HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nlarge", end);
+    cr_expect(result.outcome == exchange_outcome::answered, "end %d", static_cast<int>(end));
+    cr_expect_eq(result.answer.body, "large");
+  }
+}
+
+Test(broken_answer, one_that_breaks_off_during_its_upload_is_incomplete) {
+  for (const char* head : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+                           "HTTP/1.1 200 OK\r\nContent-Len", ""}) {
+    for (const connection_end end : {connection_end::reset, connection_end::late_reset,
+                                     connection_end::close_unread, connection_end::half_close}) {
+      cr_expect(upload_to(head, end).outcome == exchange_outcome::broken, "%s, end %d", head,
+                static_cast<int>(end));
+    }
+  }
+}
--- a/src/arbutuslb/runtime/http/client.cc
+++ b/src/arbutuslb/runtime/http/client.cc
@@ -5,9 +5,11 @@
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <charconv>
+#include <linux/sockios.h>
 #include <map>
 #include <set>
 #include <stdexcept>
+#include <sys/ioctl.h>
 #include <vector>
 
 namespace arbutuslb::runtime::http {
@@ -32,6 +34,12 @@
 
 std::array<char, read_buffer_size> read_buffer;
 
+// Returns whether bytes were written that the peer has not acknowledged; true on errors.
+bool has_unacknowledged_bytes(tcp::socket& socket) {
+  int size = 0;
+  return ioctl(socket.native_handle(), SIOCOUTQ, &size) != 0 || size > 0;
+}
+
 } // namespace
 
 struct client::state : std::enable_shared_from_this<client::state> {
@@ -156,18 +164,26 @@
     asio::async_write(socket_, asio::buffer(request_bytes_),
                       [self = shared_from_this()](std::error_code error, std::size_t) {
                         self->is_writing_ = false;
-                        if (self->is_closed_) {
-                          return;
-                        }
-                        // After an error the answer is still read: a server may answer before it
-                        // has read the whole request.
-                        if (!error) {
-                          self->request_bytes_ = {};
-                          self->report_written();
+                        if (!self->is_closed_) {
+                          self->on_write_ended(error);
                         }
                       });
   }
 
+  void on_write_ended(std::error_code error) {
+    // After an error the answer is still read: a server may answer before it has read the whole
+    // request.
+    if (error) {
+      has_write_failed_ = true;
+    } else {
+      request_bytes_ = {};
+      report_written();
+    }
+    if (has_stream_ended_ && !is_closed_) {
+      on_end_of_stream();
+    }
+  }
+
   void report_written() {
     const std::function<void()> on_written = std::exchange(options_.on_written, nullptr);
     if (on_written && on_end_ != nullptr) {
@@ -253,8 +269,8 @@
       return;
     }
     dropped_answers_ = 0;
-    const bool is_reusable = is_persistent && is_last && !is_writing_ && !is_closed_ &&
-                             keep_alive_time_ > core::duration::zero();
+    const bool is_reusable = is_persistent && is_last && !is_writing_ && !has_write_failed_ &&
+                             !is_closed_ && keep_alive_time_ > core::duration::zero();
     if (is_reusable) {
       add_to_idle();
     } else {
@@ -276,13 +292,29 @@
       return;
     }
     if (is_orderly && reader_.has_headers()) {
+      has_stream_ended_ = true;
+      on_end_of_stream();
+    } else {
+      fail();
+    }
+  }
+
+  // Ends an exchange whose answer may be delimited by the end of the stream. That end says nothing
+  // of the answer while the server has not received the whole request: it may stand for a reset,
+  // whose error a failed write has taken from the socket.
+  void on_end_of_stream() {
+    const bool is_early = has_write_failed_ || has_unacknowledged_bytes(socket_);
+    if (is_writing_ && !is_early) {
+      return; // decided when the write has ended
+    }
+    if (!is_early) {
       reader_.end_of_stream();
-      if (reader_.state() == read_state::complete) {
-        on_answer(true);
-        return;
-      }
     }
-    fail();
+    if (reader_.state() == read_state::complete) {
+      on_answer(true);
+    } else {
+      fail();
+    }
   }
 
   void drop_idle() {
@@ -326,6 +358,8 @@
   bool is_refused_ = false;
   bool has_sent_ = false;
   bool is_writing_ = false;
+  bool has_write_failed_ = false;
+  bool has_stream_ended_ = false; // in order
   bool is_waiting_ = false;
   bool is_closed_ = false;
 };
