An answer with a field of more than one line is no answer

Callers of a gateway saw an answer whose head had a line that begins with a blank or a tab, joined to the value of the field before it: that field was the upstream's no longer.

Cause: http_parser unfolds such lines (RFC 9112, section 5.2) and drops the line break between the parts. The reader checked the names of fields only after that, when the line had no name any more.

Change: the reader of answers fails on a line of the header that begins with a blank or a tab, also in an interim response.

Measured: broken_answer::one_with_a_malformed_field_is_no_answer failed before for " X: z", "\tX: z", " " and a folded value (also in an interim response), and passes. Its other lines (a blank, a control byte, 0x80 or nothing in a name, CR or NUL in a value) and the statuses of broken_answer::one_with_an_invalid_status_is_no_answer were refused before; both tests stay.

--- a/src/arbutuslb/runtime/http/broken_answer_test.cc
+++ b/src/arbutuslb/runtime/http/broken_answer_test.cc
@@ -151,3 +151,47 @@
     }
   }
 }
+
+namespace {
+
+// Returns whether a client accepts `answer` from a server that ends the connection in order.
+bool is_accepted(const std::string& answer) {
+  server_fixture fixture;
+  const std::size_t request_size = serialize(get_request("/1")).size();
+  early_server server(fixture.loop, answer, connection_end::half_close, request_size);
+  client sender(fixture.loop);
+  std::optional<exchange_result> result;
+  sender.send(server.address(), get_request("/1"), {},
+              [&](exchange_result value) { result = std::move(value); });
+  fixture.run_until([&] { return result.has_value(); });
+  return result->outcome == exchange_outcome::answered;
+}
+
+} // namespace
+
+Test(broken_answer, one_with_an_invalid_status_is_no_answer) {
+  const std::string fields = " Odd\r\nContent-Length: 2\r\n\r\nok";
+  for (const char* status : {"000", "001", "099", "600", "999", "20", "2000", "", "2x0", "-20"}) {
+    cr_expect_not(is_accepted("HTTP/1.1 " + std::string(status) + fields), "%s", status);
+  }
+  cr_expect(is_accepted("HTTP/1.1 200" + fields));
+  cr_expect(is_accepted("HTTP/1.1 599" + fields));
+}
+
+// Guards against a line that changes the field before it: one that begins with a blank was appended
+// to the value of that field.
+Test(broken_answer, one_with_a_malformed_field_is_no_answer) {
+  using namespace std::string_literals;
+  const std::string before = "HTTP/1.1 200 OK\r\nA: b\r\n";
+  const std::string after = "\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::string& line :
+       {"X Y: z"s, "X\tY: z"s, "X\0Y: z"s, "X\x01Y: z"s, "X\x0bY: z"s, "X\x1bY: z"s, "X\x7fY: z"s,
+        "X\x80Y: z"s, "X : z"s, ": z"s, "X"s, " X: z"s, "\tX: z"s, " "s, "X: a\rb"s, "X: a\0b"s,
+        "X: y\r\n z"s, "Content-Length : 5"s, "Content\x0b-Length: 5"s}) {
+    cr_expect_not(is_accepted(before + line + after), "%s", line.c_str());
+    cr_expect_not(
+        is_accepted("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + before + after.substr(2)),
+        "interim: %s", line.c_str());
+  }
+  cr_expect(is_accepted(before + "X: z" + after));
+}
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -193,9 +193,13 @@
   fault_ = fault;
 }
 
-bool message_reader::has_bare_line_feed(std::string_view bytes) {
+bool message_reader::has_malformed_line(std::string_view bytes) {
   for (const char byte : bytes) {
-    if (byte == '\n' && last_byte_ != '\r') {
+    const bool is_bare_line_feed = byte == '\n' && last_byte_ != '\r';
+    // A line that continues the field before it, or a field whose name begins with a blank.
+    const bool is_folded =
+        kind_ == message_kind::response && (byte == ' ' || byte == '\t') && last_byte_ == '\n';
+    if (is_bare_line_feed || is_folded) {
       return true;
     }
     last_byte_ = byte;
@@ -246,7 +250,7 @@
         fail(read_fault::headers_too_large);
         break;
       }
-      if (has_bare_line_feed(remaining.substr(0, header_chunk_size))) {
+      if (has_malformed_line(remaining.substr(0, header_chunk_size))) {
         fail(read_fault::malformed);
         break;
       }
--- a/src/arbutuslb/runtime/http/message_reader.h
+++ b/src/arbutuslb/runtime/http/message_reader.h
@@ -1,8 +1,9 @@
 // Reads HTTP/1.1 messages from a stream of bytes, one at a time.
 //
 // Stricter than the underlying http_parser where two implementations could disagree about the end
-// of a message: lines must end with CR LF, and field names must be tokens. Removes hop-by-hop
-// header fields, and the fields behind a chunked body, from the message.
+// of a message: lines must end with CR LF, field names must be tokens, and the fields of a response
+// have one line each. Removes hop-by-hop header fields, and the fields behind a chunked body, from
+// the message.
 //
 //   message_reader reader(message_kind::request, limits);
 //   std::size_t consumed = reader.consume(bytes);
@@ -77,7 +78,8 @@
   // Returns false, and fails, if the budget does not allow the message to grow by `size`.
   bool grow(std::size_t size);
   void fail(read_fault fault);
-  bool has_bare_line_feed(std::string_view bytes);
+  // Takes the next bytes of the header.
+  bool has_malformed_line(std::string_view bytes);
   // Returns the number of bytes skipped.
   std::size_t skip_line_breaks(std::string_view bytes);
   void finish_headers();
