The buffer of a body grows with what has been received

Cause: at the first bytes of a body the reader reserved its declared length, up to 16 MB an answer, and took from the memory budget only what had arrived. 18 answers at a time reserved 288 MB under a budget of 27.5 MB; what had been written to freed buffers stayed resident.

Change: the buffer grows with what has been received, to four times that at most, and its capacity is taken from the budget before it is reserved. A declared length over the limit of bodies fails at once, for answers and for requests (413), and not after the limit has been received.

This works since a declared length no longer makes the process hold anything: all that it holds for a body is in the budget first.

--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -48,6 +48,10 @@
                                   : std::nullopt;
 }
 
+bool has_length(const http_parser& parser) {
+  return (parser.flags & F_CONTENTLENGTH) != 0;
+}
+
 void append_headers(std::string& output, const core::header_list& headers) {
   for (const auto& [name, value] : headers) {
     output += name;
@@ -108,9 +112,14 @@
       reader.fail(read_fault::malformed);
       return -1;
     }
-    http_parser_pause(parser, 1);
     const bool has_no_body = reader.kind_ == message_kind::response &&
                              (reader.has_no_body_ || !may_have_body(parser->status_code));
+    if (!has_no_body && has_length(*parser) &&
+        parser->content_length > reader.limits_.max_body_bytes) {
+      reader.fail(read_fault::body_too_large);
+      return -1;
+    }
+    http_parser_pause(parser, 1);
     return has_no_body ? 1 : 0;
   }
   static int on_body(http_parser* parser, const char* at, std::size_t size) {
@@ -120,15 +129,11 @@
       return 1;
     }
     // A body of unknown length grows into a buffer of up to twice its size.
-    const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
-    if (!reader.grow(has_length ? size : 2 * size)) {
+    const bool has_room = has_length(*parser) ? reader.reserve_body(size, parser->content_length)
+                                              : reader.grow(2 * size);
+    if (!has_room) {
       return 1;
     }
-    if (has_length && reader.body_.empty()) {
-      const std::uint64_t remaining = parser->content_length; // behind these bytes
-      reader.body_.reserve(static_cast<std::size_t>(
-          std::min<std::uint64_t>(remaining + size, reader.limits_.max_body_bytes)));
-    }
     reader.body_.append(at, size);
     return 0;
   }
@@ -169,6 +174,22 @@
   return false;
 }
 
+bool message_reader::reserve_body(std::size_t size, std::uint64_t remaining) {
+  const std::size_t needed = body_.size() + size;
+  if (needed <= reserved_body_bytes_) {
+    return true;
+  }
+  // At least twice the capacity before, or all: `std::string` then allocates no more than this.
+  const std::uint64_t whole = needed + remaining;
+  const std::size_t capacity = whole <= 4 * needed ? static_cast<std::size_t>(whole) : 2 * needed;
+  if (!grow(capacity - reserved_body_bytes_)) {
+    return false;
+  }
+  reserved_body_bytes_ = capacity;
+  body_.reserve(capacity);
+  return true;
+}
+
 void message_reader::begin_message() {
   http_parser_init(&parser_, kind_ == message_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
@@ -184,7 +205,8 @@
   keep_alive_time_.reset();
   target_.clear();
   headers_ = {}; // with its memory
-  body_.clear();
+  body_ = {};    // with its memory
+  reserved_body_bytes_ = 0;
   share_.release();
 }
 
--- a/src/arbutuslb/runtime/http/message_reader.h
+++ b/src/arbutuslb/runtime/http/message_reader.h
@@ -77,6 +77,10 @@
   void begin_message();
   // Returns false, and fails, if the budget does not allow the message to grow by `size`.
   bool grow(std::size_t size);
+  // Makes room for `size` more bytes of a body of which `remaining` bytes follow. Takes a buffer
+  // from the budget that grows with what has been received: a declared length is no more than a
+  // claim. Returns false, and fails, if the budget does not allow it.
+  bool reserve_body(std::size_t size, std::uint64_t remaining);
   void fail(read_fault fault);
   // Takes the next bytes of the header.
   bool has_malformed_line(std::string_view bytes);
@@ -103,6 +107,7 @@
   std::string target_;
   core::header_list headers_;
   std::string body_;
+  std::size_t reserved_body_bytes_ = 0; // of a body with a length
 };
 
 // Return the message in wire format, with a Content-Length field where the message may have a body.
--- a/src/arbutuslb/soak/crowds.cc
+++ b/src/arbutuslb/soak/crowds.cc
@@ -1,6 +1,7 @@
 // Tests a daemon against crowds of clients that stay inside the limits of single requests and use
 // up its memory together: many header lines, large bodies that stop short of their end, chunks, and
-// answers that are not read. Prints TAP lines.
+// answers that are not read; and against an upstream that answers a crowd without end. Prints TAP
+// lines.
 //
 // Each crowd meets a daemon process of its own with a lowered memory limit. Checked is what does
 // not depend on the machine's speed: the process lives, its peak of memory and its open descriptors
@@ -12,6 +13,7 @@
 #include "arbutuslb/fakes/platform_store.h"
 #include "arbutuslb/platform/store_client.h"
 #include "arbutuslb/soak/child_process.h"
+#include "arbutuslb/soak/faulty_upstream.h"
 #include "arbutuslb/soak/upstream_stand_in.h"
 
 #include <asio/write.hpp>
@@ -35,7 +37,10 @@
 constexpr std::size_t max_header_bytes = 16384;
 constexpr std::size_t max_body_bytes = 1'000'000;
 constexpr std::size_t pieces = 64;
+constexpr std::size_t large_body_bytes = 8'000'000; // of an answer
 constexpr std::chrono::seconds crowd_time{6};
+// A crowd whose answers have no end shows its effect sooner.
+constexpr std::chrono::seconds trouble_time{3};
 constexpr std::chrono::seconds answer_time{20};
 constexpr std::chrono::milliseconds sample_period{20};
 constexpr int status_ok = 200;
@@ -43,6 +48,7 @@
 constexpr std::uint16_t callers_port = 8100;
 constexpr std::uint16_t peers_port = 8200;
 constexpr std::uint16_t upstream_port = 8300;
+constexpr std::uint16_t spare_upstream_port = 8310; // of a stand-in that only sends heartbeats
 constexpr std::uint16_t store_port = 8400;
 constexpr std::uint16_t heartbeats_port = 8500;
 constexpr std::uint16_t readiness_port = 8600;
@@ -51,9 +57,10 @@
 
 struct crowd {
   std::string name;
-  std::vector<std::string> writes; // of each client, in order
-  std::chrono::milliseconds gap{}; // between two writes
-  bool reads = true;               // the answers
+  std::vector<std::string> writes;                      // of each client, in order
+  std::chrono::milliseconds gap{};                      // between two writes
+  bool reads = true;                                    // the answers
+  std::optional<endless_answer> trouble = std::nullopt; // of the upstream
 };
 
 std::string head(const std::string& method, const std::string& target, const std::string& fields) {
@@ -105,6 +112,35 @@
           {"answers_that_are_not_read", {repeated(large_read, 8)}, 0ms, false}};
 }
 
+// Crowds whose requests an upstream in trouble answers.
+std::vector<crowd> make_troubles() {
+  const std::string begin = std::string("HTTP/1.1 200 OK\r\n") + answer_fields;
+  const std::string body(65536, 'x');
+  const auto with_length = [&](std::size_t size) {
+    return endless_answer{begin + "Content-Length: " + std::to_string(size) + "\r\n\r\n", body};
+  };
+  const std::vector<std::pair<std::string, endless_answer>> answers{
+      {"of_a_length_over_the_limit", with_length(1'000'000'000'000)},
+      {"of_a_large_length", with_length(large_body_bytes)},
+      {"of_half_a_large_length", with_length(large_body_bytes / 2)},
+      {"without_a_length", {begin + "\r\n", body}},
+      {"in_chunks", {begin + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + body + "\r\n"}},
+      {"in_a_trailer",
+       {begin + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        "A: " + std::string(1000, 'x') + "\r\n"}},
+      {"in_one_field", {begin + "A: ", body}},
+      {"in_short_fields", {begin, repeated("a:\r\n", 10'000)}},
+      {"in_interim_responses", {"", repeated("HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", 1000)}},
+      {"in_line_breaks", {"", repeated("\r\n", 10'000)}}};
+  std::vector<crowd> crowds;
+  for (const auto& [name, answer] : answers) {
+    crowd value{"answers_without_end_" + name, {repeated(head("GET", trouble_target, "\r\n"), 8)}};
+    value.trouble = answer;
+    crowds.push_back(std::move(value));
+  }
+  return crowds;
+}
+
 // One client of a crowd: writes what it has to write, and stays.
 class client : public std::enable_shared_from_this<client> {
 public:
@@ -175,11 +211,15 @@
         operator_connections_(loop_), operator_(operator_connections_, endpoint(store_port)),
         caller_(loop_),
         upstream_(loop_,
-                  {"shop", "district-1", endpoint(upstream_port), endpoint(upstream_port),
-                   endpoint(heartbeats_port), endpoint(callers_port)},
+                  {"shop", "district-1",
+                   endpoint(kind.trouble ? spare_upstream_port : upstream_port),
+                   endpoint(upstream_port), endpoint(heartbeats_port), endpoint(callers_port)},
                   1,
                   {[](const std::string&) {}, [](const std::string&, core::duration) {},
                    [](bool) {}, [](const std::string&) {}, [](const std::string&) {}}) {
+    if (kind.trouble) {
+      faulty_upstream_.emplace(loop_, endpoint(upstream_port), *kind.trouble);
+    }
     std::filesystem::create_directories(directory_);
   }
 
@@ -284,7 +324,7 @@
       clients.push_back(std::make_shared<client>(loop_, kind_));
       clients.back()->start(endpoint(callers_port));
     }
-    run_for(crowd_time);
+    run_for(kind_.trouble ? trouble_time : crowd_time);
     for (const std::shared_ptr<client>& item : clients) {
       item->close();
     }
@@ -327,6 +367,7 @@
   platform::store_client operator_;
   http::client caller_;
   upstream_stand_in upstream_;
+  std::optional<faulty_upstream> faulty_upstream_;
   std::unique_ptr<child_process> daemon_;
   process_figures peak_;
   std::string figures_line_;
@@ -336,7 +377,8 @@
 int run_crowds(const fakes::options& arguments) {
   int failed = 0;
   int number = 0;
-  const std::vector<crowd> crowds = make_crowds();
+  std::vector<crowd> crowds = make_crowds();
+  std::ranges::move(make_troubles(), std::back_inserter(crowds));
   const std::string only = arguments.text("only", "");
   for (const crowd& kind : crowds) {
     ++number;
