A daemon reads its upstream's answers with the reader of the gateway

Callers of a daemon saw answers with the status 0, 099, 600 or 999, and bodies of answers whose head had a field name with a blank or a control byte, or a folded field. Bytes without end, in a head or a body, made the process grow until it ended, with the requests of other callers.

Cause: upstream_client read answers with cpp-httplib and its default limits: none for a line of the header or a body without a length, any three digits or fewer for a status, any bytes for a name.

Change: upstream_client uses runtime/http/client, on the daemon's loop instead of threads, with a memory budget for the answers that are being read (16 MB, 24 MB for a single one). One strict reader is left for answers of upstreams, so that what it refuses is refused by both commands. The time limit holds for the whole answer (before, for each read). A request that waits for a place past its deadline is not sent. Connecting may take 300 ms, as in the gateway. An answer may have 16 MB.

--- a/src/arbutuslb/fakes/commands.h
+++ b/src/arbutuslb/fakes/commands.h
@@ -8,5 +8,6 @@
 int run_log(const options& arguments);
 int run_upstream(const options& arguments);
 int run_load(const options& arguments);
+int run_broken(const options& arguments);
 
 } // namespace arbutuslb::fakes
--- a/src/arbutuslb/fakes/main.cc
+++ b/src/arbutuslb/fakes/main.cc
@@ -1,5 +1,5 @@
 // Binary with the stand-ins for tests and demos; it is not part of the product.
-//   arbutuslb_fakes log|upstream|load [--name value]...
+//   arbutuslb_fakes log|upstream|load|broken [--name value]...
 
 #include "arbutuslb/fakes/commands.h"
 
@@ -18,9 +18,12 @@
     if (command == "load") {
       return arbutuslb::fakes::run_load(arguments);
     }
+    if (command == "broken") {
+      return arbutuslb::fakes::run_broken(arguments);
+    }
   } catch (const std::exception& error) {
     std::cerr << error.what() << "\n";
   }
-  std::cerr << "usage: arbutuslb_fakes log|upstream|load [--name value]...\n";
+  std::cerr << "usage: arbutuslb_fakes log|upstream|load|broken [--name value]...\n";
   return 2;
 }
--- a/src/arbutuslb/runtime/daemon_host.cc
+++ b/src/arbutuslb/runtime/daemon_host.cc
@@ -37,7 +37,7 @@
                              handle(engine::peer_message{std::move(value)});
                            }),
         log(settings.log, event_poster()),
-        upstream(settings.upstream, settings.upstream_connections, event_poster()),
+        upstream(loop, clock, settings.upstream, settings.upstream_connections, event_poster()),
         front(settings, {event_poster(), [this] { return render_metrics(); }}) {
     wait_for_signal();
     schedule_tick();
@@ -85,6 +85,7 @@
       handle(engine::tick{});
       peers.receive_pending();
       peers.close_idle(clock.now());
+      upstream.sweep();
       schedule_tick();
     });
   }
--- a/tools/lib.sh
+++ b/tools/lib.sh
@@ -5,6 +5,7 @@
 cd "$top"
 build_dir="$top/build"
 work_dir=""
+suite="" # of the tests that a script runs
 process_ids=()
 
 packages=(libasio-dev libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libboost-dev
@@ -100,3 +101,27 @@
 value_of() {
   sed -n "s/.*\\b$1=\\([^ ]*\\).*/\\1/p" <<<"$2"
 }
+
+# Runs a test of $suite: the command must exit with EXIT_CODE and its output must match the regular
+# expression PATTERN. expect NAME EXIT_CODE PATTERN COMMAND...
+expect() {
+  local name=$1 wanted=$2 pattern=$3 output code=0
+  shift 3
+  output=$("$@" 2>&1) || code=$?
+  if [ $code -eq "$wanted" ] && grep -q -- "$pattern" <<<"$output"; then
+    echo "ok - $suite::$name"
+  else
+    echo "not ok - $suite::$name"
+    echo "  exit code $code, expected $wanted; expected a match of \"$pattern\" in: ${output:0:400}"
+  fi
+}
+
+# Runs a command and then ends processes by their ids; returns the command's exit code.
+# ending "ID..." COMMAND...
+ending() {
+  local ids=$1 id code=0
+  shift
+  "$@" || code=$?
+  for id in $ids; do kill -9 "$id" 2>/dev/null || true; done
+  return $code
+}
