A malformed answer of the log to an append is no answer

An answer of the log whose `offset` is not a number ended the daemon: the conversion threw on a thread of http_log_client.

Change: only an unsigned number is an offset; everything else makes the append unknown, as a missing answer does.

--- a/src/arbutuslb/runtime/log_client.cc
+++ b/src/arbutuslb/runtime/log_client.cc
@@ -5,6 +5,7 @@
 
 #include <asio/post.hpp>
 #include <asio/thread_pool.hpp>
+#include <optional>
 
 namespace arbutuslb::runtime {
 namespace {
@@ -50,6 +51,16 @@
   return result;
 }
 
+// Returns the offset of the record that was appended; empty if the answer does not tell it.
+std::optional<std::uint64_t> parse_append(const std::string& body) {
+  const core::json document = core::json::parse(body, nullptr, false);
+  if (!document.is_object() || !document.contains("offset") ||
+      !document["offset"].is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return document["offset"].get<std::uint64_t>();
+}
+
 } // namespace
 
 struct http_log_client::state {
@@ -79,10 +90,9 @@
     if (is_refused) {
       appended.result = append_result::refused;
     } else if (result && result->status == status_ok) {
-      const core::json document = core::json::parse(result->body, nullptr, false);
-      if (document.is_object() && document.contains("offset")) {
+      if (const std::optional<std::uint64_t> offset = parse_append(result->body)) {
         appended.result = append_result::appended;
-        appended.offset = document["offset"].get<std::uint64_t>();
+        appended.offset = *offset;
         clients.release(std::move(client));
       }
     }
