A daemon gives large buffers back to the system when they are freed

16 whole answers of 8 MB at a time took a daemon to 170 to 174 MB, 64 MB allowed; their upstream sent on behind the end of each.

Cause: the allocator maps large buffers only until one of that size has been freed. Later ones come from the heap of the thread that needs them and stay resident there, once for each server thread.

Change: the daemon fixes that threshold at 128 KB.

--- a/src/arbutuslb/main/main.cc
+++ b/src/arbutuslb/main/main.cc
@@ -103,6 +103,7 @@
   }
   return run_with_settings(*arguments, runtime::parse_settings,
                            [](const runtime::daemon_settings& settings) {
+                             runtime::return_large_buffers_when_freed();
                              runtime::start_logging("arbutuslb");
                              runtime::daemon_host host(settings);
                              host.run();
--- a/src/arbutuslb/runtime/process_start.cc
+++ b/src/arbutuslb/runtime/process_start.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <iostream>
+#include <malloc.h>
 #include <optional>
 #include <system_error>
 #include <thread>
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds retry_period{50};
+// Buffers of this size or more get pages of their own.
+constexpr int large_buffer_size = 128 * 1024;
 
 using steady = std::chrono::steady_clock;
 
@@ -41,6 +44,10 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+void return_large_buffers_when_freed() {
+  mallopt(M_MMAP_THRESHOLD, large_buffer_size);
+}
+
 std::string read_settings_text(const std::string& path) {
   const steady::time_point limit = steady::now() + settings_wait;
   while (true) {
--- a/src/arbutuslb/runtime/process_start.h
+++ b/src/arbutuslb/runtime/process_start.h
@@ -1,8 +1,9 @@
 // What a daemon does while it starts, so that a passing condition of its surroundings does not end
 // it: a settings file that is being written, an address that is still in use, a standard stream
-// that is closed or whose reader exits.
+// that is closed or whose reader exits. Also settings of the process that hold while it runs.
 //
 //   protect_standard_streams();
+//   return_large_buffers_when_freed();
 //   const std::string text = read_settings_text(path);
 //   retry_while_address_is_unavailable([&] { host.emplace(settings); });
 #pragma once
@@ -22,6 +23,10 @@
 // number, and makes a write to a pipe without a reader fail instead of ending the process.
 void protect_standard_streams();
 
+// Makes the allocator give the buffers of large messages back to the system when they are freed. By
+// default it keeps buffers of any size that has been freed before, on the heap of each thread.
+void return_large_buffers_when_freed();
+
 // Reads the file until it is well-formed JSON with comments, for `settings_wait` at most. Returns
 // the last text read; whether it is well-formed is for the caller to report. Throws
 // `core::findings_error` if the file cannot be read.
