--- a/src/arbutuslb/runtime/http/http_test.cc
+++ b/src/arbutuslb/runtime/http/http_test.cc
@@ -114,6 +114,18 @@
   cr_assert(fault_of(long_body) == read_fault::body_too_large);
 }
 
+Test(message_reader, a_declared_length_over_the_limit_fails_with_its_header) {
+  const std::string length = "Content-Length: 1025\r\n\r\n";
+  cr_assert(fault_of("POST / HTTP/1.1\r\nHost: x\r\n" + length) == read_fault::body_too_large);
+  cr_assert(fault_of("HTTP/1.1 200 OK\r\n" + length, message_kind::response) ==
+            read_fault::body_too_large);
+  // An answer without a body may declare the length that it would have.
+  message_reader answer_to_head(message_kind::response, small_limits);
+  answer_to_head.expect_no_body(true);
+  answer_to_head.consume("HTTP/1.1 200 OK\r\n" + length);
+  cr_assert(answer_to_head.state() == read_state::complete);
+}
+
 Test(message_reader, hop_by_hop_fields_are_removed) {
   message_reader reader(message_kind::request, small_limits);
   reader.consume("GET / HTTP/1.1\r\nHost: x\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
--- a/src/arbutuslb/runtime/http/memory_budget_test.cc
+++ b/src/arbutuslb/runtime/http/memory_budget_test.cc
@@ -94,6 +94,25 @@
   cr_assert_eq(budget->used(), 0);
 }
 
+// A body of a declared length takes little more than what has arrived, and its length in the end.
+Test(memory_budget, a_body_takes_what_has_been_received) {
+  constexpr std::size_t size = 900'000;
+  const auto budget = std::make_shared<memory_budget>(memory_limits{megabyte, megabyte});
+  message_reader reader(message_kind::response, {16384, megabyte}, budget);
+  reader.consume("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n");
+  const std::size_t header_size = budget->used();
+  const std::string piece(1000, 'x');
+  for (std::size_t received = piece.size(); received < size; received += piece.size()) {
+    reader.consume(piece);
+    cr_assert_leq(budget->used(), header_size + 4 * received);
+  }
+  reader.consume(piece);
+  cr_assert(reader.state() == read_state::complete);
+  cr_assert_eq(budget->used(), header_size + size);
+  cr_assert_eq(reader.take_response().body.size(), size);
+  cr_assert_eq(budget->used(), 0);
+}
+
 Test(memory_budget, a_server_gives_everything_back_when_its_callers_have_left) {
   random_source random(2);
   asio::io_context loop;
