--- a/src/arbutuslb/runtime/http/broken_answer_test.cc
+++ b/src/arbutuslb/runtime/http/broken_answer_test.cc
@@ -13,7 +13,7 @@
 namespace core = arbutuslb::core;
 using asio::ip::tcp;
 
-// More than the kernel buffers on a connection to `early_server`.
+// More than the kernel buffers on a connection to `closing_server`.
 constexpr std::size_t upload_size = std::size_t{8} * 1024 * 1024;
 
 enum class connection_end : std::uint8_t {
@@ -23,13 +23,14 @@
   half_close    // an orderly end; the request is not read further
 };
 
-// Accepts one connection, reads a part of the request, answers, and ends the connection.
-class early_server {
+// Accepts one connection, reads at least `read_bytes` of the request, answers, and ends the
+// connection.
+class closing_server {
 public:
-  early_server(asio::io_context& loop, std::string answer, connection_end end,
-               std::size_t request_bytes = 1)
-      : acceptor_(loop), timer_(loop), answer_(std::move(answer)), end_(end),
-        unread_bytes_(request_bytes) {
+  closing_server(asio::io_context& loop, std::size_t read_bytes, std::string answer,
+                 connection_end end)
+      : acceptor_(loop), timer_(loop), unread_bytes_(read_bytes), answer_(std::move(answer)),
+        end_(end) {
     const tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
     acceptor_.open(any_port.protocol());
     acceptor_.set_option(asio::socket_base::receive_buffer_size(16 * 1024));
@@ -77,32 +78,45 @@
   asio::steady_timer timer_;
   std::optional<tcp::socket> socket_;
   std::array<char, 4096> request_{};
+  std::size_t unread_bytes_; // of the request, before the answer
   std::string answer_;
   connection_end end_;
-  std::size_t unread_bytes_; // of the request, before the answer
 };
 
-core::http_request upload_request(std::size_t size) {
-  core::http_request request = get_request("/upload");
-  request.method = "POST";
-  request.body.assign(size, 'x');
-  return request;
-}
-
-// Sends an upload to a server that reads some of it, answers, and ends the connection. Returns how
-// the exchange ends.
-exchange_result upload_to(const std::string& answer, connection_end end,
-                          std::size_t read_bytes = 1) {
+// Sends a request to a server that reads at least `read_bytes` of it. Returns how the exchange
+// ends.
+exchange_result exchange_with(const core::http_request& request, std::size_t read_bytes,
+                              const std::string& answer, connection_end end) {
   server_fixture fixture;
-  early_server server(fixture.loop, answer, end, read_bytes);
+  closing_server server(fixture.loop, read_bytes, answer, end);
   client sender(fixture.loop);
   std::optional<exchange_result> result;
-  sender.send(server.address(), upload_request(upload_size), {},
+  sender.send(server.address(), request, {},
               [&](exchange_result value) { result = std::move(value); });
   fixture.run_until([&] { return result.has_value(); });
   return std::move(*result);
 }
 
+core::http_request upload_request() {
+  core::http_request request = get_request("/upload");
+  request.method = "POST";
+  request.body.assign(upload_size, 'x');
+  return request;
+}
+
+// The server answers when the upload has just begun.
+exchange_result upload_to(const std::string& answer, connection_end end) {
+  return exchange_with(upload_request(), 1, answer, end);
+}
+
+// Returns whether the client accepts the answer of a server that ends the connection in order.
+bool is_accepted(const std::string& answer) {
+  const core::http_request request = get_request("/1");
+  const exchange_result result =
+      exchange_with(request, serialize(request).size(), answer, connection_end::half_close);
+  return result.outcome == exchange_outcome::answered;
+}
+
 } // namespace
 
 // Guards against a part of an answer that is passed on as a whole one: the failed write of the
@@ -124,9 +138,10 @@
 }
 
 Test(broken_answer, one_without_length_is_whole_if_its_request_was_read) {
-  const std::size_t size = serialize(upload_request(upload_size)).size();
+  const core::http_request request = upload_request();
   const exchange_result result =
-      upload_to("HTTP/1.1 200 OK\r\n\r\nwhole", connection_end::half_close, size);
+      exchange_with(request, serialize(request).size(), "HTTP/1.1 200 OK\r\n\r\nwhole",
+                    connection_end::half_close);
   cr_expect(result.outcome == exchange_outcome::answered);
   cr_expect_eq(result.answer.body, "whole");
 }
@@ -152,23 +167,6 @@
   }
 }
 
-namespace {
-
-// Returns whether a client accepts `answer` from a server that ends the connection in order.
-bool is_accepted(const std::string& answer) {
-  server_fixture fixture;
-  const std::size_t request_size = serialize(get_request("/1")).size();
-  early_server server(fixture.loop, answer, connection_end::half_close, request_size);
-  client sender(fixture.loop);
-  std::optional<exchange_result> result;
-  sender.send(server.address(), get_request("/1"), {},
-              [&](exchange_result value) { result = std::move(value); });
-  fixture.run_until([&] { return result.has_value(); });
-  return result->outcome == exchange_outcome::answered;
-}
-
-} // namespace
-
 Test(broken_answer, one_with_an_invalid_status_is_no_answer) {
   const std::string fields = " Odd\r\nContent-Length: 2\r\n\r\nok";
   for (const char* status : {"000", "001", "099", "600", "999", "20", "2000", "", "2x0", "-20"}) {
--- a/src/arbutuslb/runtime/process_start.h
+++ b/src/arbutuslb/runtime/process_start.h
@@ -1,6 +1,6 @@
 // What a daemon does while it starts, so that a passing condition of its surroundings does not end
 // it: a settings file that is being written, an address that is still in use, a standard stream
-// that is closed or whose reader exits. Also settings of the process that hold while it runs.
+// that is closed or whose reader exits. Also how its allocator uses memory from then on.
 //
 //   protect_standard_streams();
 //   return_large_buffers_when_freed();
