An answer with a transfer coding that cannot be decoded is no answer

Callers got bodies that were not the upstream's: for an answer with Transfer-Encoding: gzip, or gzip and chunked, the coded bytes or the frames of the chunks, without the field that names the coding.

Cause: http_parser decodes chunked as the last coding and takes anything else for a body that is delimited by the end of the connection; the reader then removes the field, as it belongs to one connection.

Change: an answer may have one coding, chunked. Requests with others are refused by http_parser, as before.

Measured: broken_answer::one_with_a_transfer_coding_that_cannot_be_decoded_is_no_answer failed before for its nine values, and passes; chunked in other case and between blanks is accepted.

--- a/src/arbutuslb/runtime/http/broken_answer_test.cc
+++ b/src/arbutuslb/runtime/http/broken_answer_test.cc
@@ -193,3 +193,17 @@
   }
   cr_expect(is_accepted(before + "X: z" + after));
 }
+
+// Guards against a body that is not the server's: the field that names the coding stays behind.
+Test(broken_answer, one_with_a_transfer_coding_that_cannot_be_decoded_is_no_answer) {
+  const std::string chunks = "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+  for (const char* coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "xchunked", "chunkedx", "chunked, chunked",
+        "chunked\r\nTransfer-Encoding: gzip", "gzip\r\nTransfer-Encoding: chunked", ""}) {
+    cr_expect_not(
+        is_accepted("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) + chunks), "%s",
+        coding);
+  }
+  cr_expect(is_accepted("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + chunks));
+  cr_expect(is_accepted("HTTP/1.1 200 OK\r\ntransfer-encoding:  Chunked " + chunks));
+}
--- a/src/arbutuslb/runtime/http/message_reader.cc
+++ b/src/arbutuslb/runtime/http/message_reader.cc
@@ -34,6 +34,13 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
 }
 
+std::string_view without_blanks_around(std::string_view text) {
+  constexpr std::string_view blanks = " \t";
+  text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+  text.remove_suffix(text.size() - (text.find_last_not_of(blanks) + 1));
+  return text;
+}
+
 std::optional<core::duration> parse_keep_alive(std::string_view value) {
   constexpr std::string_view key = "timeout=";
   const std::size_t at = value.find(key);
@@ -297,12 +304,18 @@
 void message_reader::finish_headers() {
   has_headers_ = true;
   int host_count = 0;
+  int coding_count = 0;
+  bool is_decodable = true;
   for (const auto& [name, value] : headers_) {
     if (!is_token(name)) {
       fail(read_fault::malformed);
       return;
     }
     host_count += core::equal_ignoring_case(name, "Host") ? 1 : 0;
+    if (core::equal_ignoring_case(name, "Transfer-Encoding")) {
+      ++coding_count;
+      is_decodable = core::equal_ignoring_case(without_blanks_around(value), "chunked");
+    }
     if (core::equal_ignoring_case(name, "Keep-Alive")) {
       keep_alive_time_ = parse_keep_alive(value);
     }
@@ -315,6 +328,10 @@
   if (kind_ == message_kind::request && (host_count != 1 || is_tunnel)) {
     fail(read_fault::malformed);
   }
+  // The field is removed, so that nobody behind could decode the body.
+  if (kind_ == message_kind::response && (coding_count > 1 || !is_decodable)) {
+    fail(read_fault::malformed);
+  }
 }
 
 void message_reader::end_of_stream() {
@@ -338,13 +355,8 @@
     std::size_t begin = 0;
     while (begin < connection_options.size()) {
       const std::size_t end = connection_options.find(',', begin);
-      std::string_view part = std::string_view(connection_options).substr(begin, end - begin);
-      while (!part.empty() && part.front() == ' ') {
-        part.remove_prefix(1);
-      }
-      while (!part.empty() && part.back() == ' ') {
-        part.remove_suffix(1);
-      }
+      const std::string_view part =
+          without_blanks_around(std::string_view(connection_options).substr(begin, end - begin));
       if (core::equal_ignoring_case(part, name)) {
         return true;
       }
--- a/src/arbutuslb/runtime/http/message_reader.h
+++ b/src/arbutuslb/runtime/http/message_reader.h
@@ -1,9 +1,9 @@
 // Reads HTTP/1.1 messages from a stream of bytes, one at a time.
 //
 // Stricter than the underlying http_parser where two implementations could disagree about the end
-// of a message: lines must end with CR LF, field names must be tokens, and the fields of a response
-// have one line each. Removes hop-by-hop header fields, and the fields behind a chunked body, from
-// the message.
+// of a message: lines must end with CR LF, and field names must be tokens. The fields of a response
+// have one line each, and its only transfer coding is chunked. Removes hop-by-hop header fields,
+// and the fields behind a chunked body, from the message.
 //
 //   message_reader reader(message_kind::request, limits);
 //   std::size_t consumed = reader.consume(bytes);
