A gateway gives large buffers back as well when they are freed

Cause: as in the daemon, the allocator keeps freed buffers of large answers on the heap, and which of them depends on the order in which answers end.

Change: the threshold is fixed for both commands.

--- a/src/arbutuslb/main/main.cc
+++ b/src/arbutuslb/main/main.cc
@@ -83,6 +83,7 @@
       std::cout << "settings=ok\n";
       return 0;
     }
+    runtime::return_large_buffers_when_freed();
     run(settings);
   } catch (const core::findings_error& error) {
     std::cerr << error.what() << "\n";
@@ -103,7 +104,6 @@
   }
   return run_with_settings(*arguments, runtime::parse_settings,
                            [](const runtime::daemon_settings& settings) {
-                             runtime::return_large_buffers_when_freed();
                              runtime::start_logging("arbutuslb");
                              runtime::daemon_host host(settings);
                              host.run();
