An answer's text is not copied into the output of its connection

Cause: besides the copy that is counted, an answer was held three times while it was appended to the output: as a response, as text, and in the output, whose capacity doubles.

Change: the response's body is released once it is text, and the text becomes the output if that is empty.

--- a/src/arbutuslb/runtime/http/server.cc
+++ b/src/arbutuslb/runtime/http/server.cc
@@ -419,7 +419,9 @@
       answer_slot slot = std::move(slots_.front());
       slots_.pop_front();
       closes_after_write_ = slot.closes_connection || (is_stopping && !is_owed());
-      output_ += serialize(slot.answer, closes_after_write_);
+      std::string bytes = serialize(slot.answer, closes_after_write_);
+      slot.answer.body = {}; // a large answer is held once
+      output_ = output_.empty() ? std::move(bytes) : std::move(output_) + bytes;
       written_held_ += slot.held;
       if (owner) {
         owner->connections_by_token.erase(slot.token);
