--- a/src/arbutuslb/platform/heartbeats.cc
+++ b/src/arbutuslb/platform/heartbeats.cc
@@ -16,6 +16,8 @@
 constexpr std::int64_t max_slots = 100'000;
 constexpr std::int64_t max_number = std::int64_t{1} << 62;
 
+// Decodes a heartbeat. Throws `findings_error` if a field is missing, of another type or out of
+// range: such a heartbeat is of another writer and says nothing of the upstream.
 gateway::heartbeat decode_heartbeat(std::string instance_id, const std::string& body) {
   finding_list findings;
   const json parsed = core::parse_json_with_comments(body);
@@ -29,6 +31,7 @@
   object_reader information(*information_element.value, information_element.place, findings);
   value.service = information.required_string("service");
   value.version = information.required_string("version");
+  information.required_string("zone");
   value.slots = static_cast<int>(information.required_integer("capacitySlots", 1, max_slots));
   const object_reader::element status_element = reader.optional_object("status");
   object_reader status(*status_element.value, status_element.place, findings);
@@ -36,7 +39,7 @@
   value.state = status.required_choice("state", {"ready", "draining"}) == "ready"
                     ? gateway::upstream_lifecycle::ready
                     : gateway::upstream_lifecycle::draining;
-  value.cold_for = status.optional_duration("coldRemaining", core::duration::zero());
+  value.cold_for = status.required_duration("coldRemaining");
   findings.throw_if_any();
   return value;
 }
@@ -49,6 +52,9 @@
     return rejected_call{status_not_found, "unknown path " + request.target};
   }
   const std::string instance_id = request.target.substr(instances_path.size());
+  if (instance_id.empty()) {
+    return rejected_call{status_bad_request, "the instance id is missing"};
+  }
   if (request.method == "DELETE") {
     return deregistration{instance_id};
   }
--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -1,6 +1,7 @@
 // Tests of the platform's formats: valid input becomes typed values, and invalid input is rejected
 // with the place of each finding.
 
+#include "arbutuslb/core/base/object_reader.h"
 #include "arbutuslb/platform/heartbeats.h"
 #include "arbutuslb/platform/orders.h"
 #include "arbutuslb/platform/requests.h"
@@ -52,6 +53,11 @@
   return request;
 }
 
+bool is_rejected(const core::json& heartbeat) {
+  return std::holds_alternative<rejected_call>(
+      decode_upstream_call(heartbeat_request(heartbeat.dump())));
+}
+
 constexpr const char* heartbeat_text =
     R"({"address":"10.0.0.9:80","born":17,"information":{"service":"menu","version":"v1",
         "zone":"a","capacitySlots":18},
@@ -120,6 +126,40 @@
   }
 }
 
+// Guards against a heartbeat of another writer that is taken for the upstream's (UNASKED): one
+// without zone and cold time replaced the upstream.
+Test(heartbeats, one_with_a_field_missing_or_of_another_type_is_rejected) {
+  const core::json complete = core::json::parse(heartbeat_text);
+  for (const char* place :
+       {"/address", "/born", "/information", "/information/service", "/information/version",
+        "/information/zone", "/information/capacitySlots", "/status", "/status/state",
+        "/status/sequence", "/status/coldRemaining"}) {
+    const core::json::json_pointer field(place);
+    core::json without = complete;
+    without.at(field.parent_pointer()).erase(field.back());
+    cr_assert(is_rejected(without), "without %s", place);
+    for (const core::json& other :
+         {core::json(), core::json(true), core::json(1.5), core::json(-1), core::json(""),
+          core::json("other"), core::json::array({7}), core::json{{"a", 1}}}) {
+      // Any name is one, whatever it says.
+      const bool is_of_same_type = other == "other" && complete.at(field).is_string() &&
+                                   field.back() != "state" && field.back() != "coldRemaining";
+      core::json changed = complete;
+      changed.at(field) = other;
+      cr_assert(is_rejected(changed) != is_of_same_type, "%s is %s", place, other.dump().c_str());
+    }
+  }
+}
+
+Test(heartbeats, a_call_without_an_instance_is_rejected) {
+  for (const char* method : {"PUT", "DELETE"}) {
+    core::http_request request = heartbeat_request(heartbeat_text);
+    request.method = method;
+    request.target = "/instances/";
+    cr_assert(std::holds_alternative<rejected_call>(decode_upstream_call(request)), "%s", method);
+  }
+}
+
 Test(requests, headers_that_the_daemons_set_are_not_taken_from_the_caller) {
   core::http_request request;
   request.method = "GET";
