--- a/src/arbutuslb/core/gateway/gate_test.cc
+++ b/src/arbutuslb/core/gateway/gate_test.cc
@@ -54,6 +54,7 @@
   value.started_ms = 5;
   value.sequence = 1;
   value.service = "menu";
+  value.domain = "a";
   value.version = "v1";
   value.address = "10.0.0.1:80";
   value.slots = 4;
--- a/src/arbutuslb/core/gateway/gateway_context.h
+++ b/src/arbutuslb/core/gateway/gateway_context.h
@@ -17,7 +17,7 @@
   std::string name;             // name of the instance
   std::string host;             // address that peers use for this daemon
   std::string domain;           // failure domain of the instance
-  std::string service;          // service of the local upstream until its first heartbeat
+  std::string service;          // service of the local upstream
   std::string upstream_address; // HOST:PORT of the local upstream
   // Retry budget of each service, shared by all daemons: `retry_ratio` times its requests within
   // the platform's window, plus `retry_extra`.
@@ -69,7 +69,8 @@
 struct gateway_context {
   gateway_context(gateway_settings values, std::uint64_t seed, time_point start)
       : settings(std::move(values)), directory(settings.domain, settings.host),
-        registry(settings.upstream_address), random(seed), started(start), now(start),
+        registry({settings.upstream_address, settings.service, settings.domain}), random(seed),
+        started(start), now(start),
         process_epoch(static_cast<std::uint64_t>(start.time_since_epoch().count())) {}
 
   // Appends an action to those of the current event.
--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -555,6 +555,24 @@
   cr_assert_eq(report.service, "menu");
 }
 
+// Guards against requests that bear another service's name (UNASKED): a heartbeat of another writer
+// with a service that the configuration has, and a later start, replaced the upstream.
+Test(gateway, a_heartbeat_of_another_configured_service_does_not_replace_the_upstream) {
+  mesh_fixture fixture;
+  gateway::heartbeat other = fixture.fleet.next_heartbeat(0);
+  other.instance_id = "i-other";
+  other.started_ms += 1;
+  other.service = "orders";
+  cr_assert_not(fixture.fleet.acknowledged.contains(fixture.fleet.send_heartbeat(0, other)));
+  fixture.fleet.call(0, "shop.example", "/orders/1", false);
+  fixture.fleet.run_for(1s);
+  cr_assert_eq(fixture.fleet.run_requests.size(), 1);
+  const std::string& caller = fixture.fleet.run_requests.begin()->second.caller_service;
+  cr_assert_eq(caller, "menu", "the caller is %s", caller.c_str());
+  const auto& report = fixture.fleet.daemon(1).directory().peers().at("10.0.0.1").report;
+  cr_assert_eq(report.instance_id, "i-0", "the upstream is %s", report.instance_id.c_str());
+}
+
 // A daemon that finds no peer at its start has a whole mesh's budget until it finds them.
 Test(gateway, the_retry_budget_of_a_daemon_that_starts_alone_shrinks_with_the_peers_that_it_finds) {
   mesh_fixture fixture;
--- a/src/arbutuslb/core/gateway/parts_test.cc
+++ b/src/arbutuslb/core/gateway/parts_test.cc
@@ -15,6 +15,7 @@
 using arbutuslb::core::time_point;
 
 const time_point start{1000s};
+const local_upstream local{"10.0.0.1:80", "menu", "a"};
 
 heartbeat make_heartbeat(std::uint64_t sequence, std::int64_t started_ms = 5) {
   heartbeat value;
@@ -22,6 +23,7 @@
   value.started_ms = started_ms;
   value.sequence = sequence;
   value.service = "menu";
+  value.domain = "a";
   value.version = "v1";
   value.address = "10.0.0.1:80";
   value.slots = 4;
@@ -183,13 +185,10 @@
 }
 
 Test(upstream_registry, late_repeated_and_reordered_heartbeats_are_ignored) {
-  upstream_registry registry("10.0.0.1:80");
+  upstream_registry registry(local);
   cr_assert(registry.on_heartbeat(make_heartbeat(2), start) == heartbeat_verdict::accepted);
   cr_assert(registry.on_heartbeat(make_heartbeat(2), start) == heartbeat_verdict::stale);
   cr_assert(registry.on_heartbeat(make_heartbeat(1), start) == heartbeat_verdict::stale);
-  heartbeat foreign = make_heartbeat(3);
-  foreign.address = "10.0.0.2:80";
-  cr_assert(registry.on_heartbeat(foreign, start) == heartbeat_verdict::foreign);
   heartbeat leaving = make_heartbeat(4);
   leaving.state = upstream_lifecycle::draining;
   cr_assert(registry.on_heartbeat(leaving, start) == heartbeat_verdict::accepted);
@@ -201,10 +200,34 @@
   cr_assert(registry.on_heartbeat(make_heartbeat(6, 5), start) == heartbeat_verdict::stale);
 }
 
+// Guards against a heartbeat of another writer that replaces the upstream because it is of a later
+// start (UNASKED).
+Test(upstream_registry, a_heartbeat_that_contradicts_what_is_known_changes_nothing) {
+  upstream_registry registry(local);
+  heartbeat other_address = make_heartbeat(3, 9);
+  other_address.address = "10.0.0.2:80";
+  heartbeat other_domain = make_heartbeat(3, 9);
+  other_domain.domain = "b";
+  heartbeat other_service = make_heartbeat(3, 9);
+  other_service.service = "orders";
+  heartbeat other_version = make_heartbeat(3);
+  other_version.version = "v2";
+  cr_assert(registry.on_heartbeat(other_service, start) == heartbeat_verdict::other_service);
+  cr_assert_not(registry.upstream().has_value());
+  registry.on_heartbeat(make_heartbeat(2), start);
+  cr_assert(registry.on_heartbeat(other_address, start) == heartbeat_verdict::foreign);
+  cr_assert(registry.on_heartbeat(other_domain, start) == heartbeat_verdict::foreign);
+  cr_assert(registry.on_heartbeat(other_service, start) == heartbeat_verdict::other_service);
+  cr_assert(registry.on_heartbeat(other_version, start) == heartbeat_verdict::contradictory);
+  cr_assert_eq(registry.upstream()->started_ms, 5);
+  cr_assert_eq(registry.upstream()->sequence, 2);
+  cr_assert_eq(registry.upstream()->version, "v1");
+}
+
 // Reports of the remaining cold time are truncated and may be read out of step with the clock.
 Test(upstream_registry,
      a_cold_upstream_is_not_taken_for_warm_before_its_cold_time_has_surely_passed) {
-  upstream_registry registry("10.0.0.1:80");
+  upstream_registry registry(local);
   heartbeat cold = make_heartbeat(1);
   cold.cold_for = 2999ms; // of 2999.9 ms
   registry.on_heartbeat(cold, start);
@@ -218,7 +241,7 @@
 
 // The upstream of a domain that is in use again may be cold; the heartbeat was sent before.
 Test(upstream_registry, a_late_heartbeat_does_not_end_the_assumed_cold_time) {
-  upstream_registry registry("10.0.0.1:80");
+  upstream_registry registry(local);
   registry.on_heartbeat(make_heartbeat(1), start);
   registry.assume_cold(start + 3s);
   registry.on_heartbeat(make_heartbeat(2), start + 500ms);
@@ -226,14 +249,14 @@
 }
 
 Test(upstream_registry, a_late_heartbeat_does_not_restore_a_deregistered_upstream) {
-  upstream_registry registry("10.0.0.1:80");
+  upstream_registry registry(local);
   registry.on_deregistration("i-1", start);
   cr_assert(registry.on_heartbeat(make_heartbeat(3), start) == heartbeat_verdict::already_leaving);
   cr_assert_not((registry.is_usable(start)));
 }
 
 Test(upstream_registry, a_later_incarnation_with_the_id_of_a_departed_one_is_accepted) {
-  upstream_registry registry("10.0.0.1:80");
+  upstream_registry registry(local);
   registry.on_heartbeat(make_heartbeat(3, 5), start);
   registry.on_deregistration("i-1", start);
   cr_assert(registry.on_heartbeat(make_heartbeat(4, 5), start) ==
@@ -243,7 +266,7 @@
 }
 
 Test(upstream_registry, a_departure_recorded_by_an_earlier_process_is_restored) {
-  upstream_registry registry("10.0.0.1:80");
+  upstream_registry registry(local);
   registry.set_unusable_until(start + 500ms);
   cr_assert(registry.on_heartbeat(make_heartbeat(3, 5), start) == heartbeat_verdict::accepted);
   cr_assert_not((registry.is_usable(start)));
--- a/src/arbutuslb/core/gateway/request_router.cc
+++ b/src/arbutuslb/core/gateway/request_router.cc
@@ -200,8 +200,6 @@
 }
 
 void request_router::send(pending_call pending, const std::string& host) {
-  const registered_upstream* local_upstream =
-      shared_.registry.upstream() ? &*shared_.registry.upstream() : nullptr;
   const auto peer = shared_.directory.peers().find(host);
   pending.current = {shared_.next_id(),
                      host,
@@ -212,8 +210,7 @@
   run_request request;
   request.content = pending.content;
   request.instance_id = peer->second.report.instance_id;
-  request.caller_service =
-      local_upstream != nullptr ? local_upstream->service : shared_.settings.service;
+  request.caller_service = shared_.settings.service;
   request.route = pending.route->name;
   request.organisation = pending.organisation;
   request.rank = pending.rank;
--- a/src/arbutuslb/core/gateway/upstream_gate.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate.cc
@@ -193,7 +193,7 @@
   if (upstream.instance_id != request.instance_id) {
     return "request is for another upstream instance";
   }
-  const rollout_conductor::rollout* rollout = rollouts_.find(upstream.service);
+  const rollout_conductor::rollout* rollout = rollouts_.find(shared_.settings.service);
   if (rollout != nullptr && rollout->phase == rollout_phase::rolled_back &&
       upstream.version == rollout->order.target_version) {
     return "version was rolled back";
@@ -239,7 +239,7 @@
     return 0;
   }
   const service_policy* policy =
-      shared_.operator_records.configuration()->find_service(upstream->service);
+      shared_.operator_records.configuration()->find_service(shared_.settings.service);
   if (policy == nullptr || policy->cold_rate <= 0) {
     return 0; // the deployment states no rate for cold upstreams
   }
@@ -490,7 +490,7 @@
 
 void upstream_gate::describe(peer_report& report) {
   const std::optional<registered_upstream>& upstream = shared_.registry.upstream();
-  report.service = upstream ? upstream->service : shared_.settings.service;
+  report.service = shared_.settings.service;
   if (!upstream) {
     return;
   }
--- a/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
@@ -23,7 +23,7 @@
 
 // Returns true if the heartbeat is not one of the local upstream; it is not acknowledged.
 bool is_of_other_writer(heartbeat_verdict verdict) {
-  return verdict == heartbeat_verdict::foreign || verdict == heartbeat_verdict::unknown_service ||
+  return verdict == heartbeat_verdict::foreign || verdict == heartbeat_verdict::other_service ||
          verdict == heartbeat_verdict::contradictory;
 }
 
@@ -33,14 +33,7 @@
 
 void upstream_gate::on_heartbeat(const heartbeat_received& value) {
   const std::optional<registered_upstream> previous = shared_.registry.upstream();
-  const std::shared_ptr<const mesh_configuration>& configuration =
-      shared_.operator_records.configuration();
-  // The settings name the service of the upstream that this daemon was started for.
-  const bool has_service = value.content.service == shared_.settings.service ||
-                           (configuration && configuration->find_service(value.content.service));
-  const heartbeat_verdict verdict = has_service
-                                        ? shared_.registry.on_heartbeat(value.content, shared_.now)
-                                        : heartbeat_verdict::unknown_service;
+  const heartbeat_verdict verdict = shared_.registry.on_heartbeat(value.content, shared_.now);
   const bool is_accepted = verdict == heartbeat_verdict::accepted;
   if (is_accepted && value.content.state != upstream_lifecycle::ready) {
     const bool is_first = !previous || previous->state == upstream_lifecycle::ready;
@@ -77,7 +70,7 @@
     shared_.is_report_due = true;
     shared_.write(engine::severity::info, "upstream_state",
                   {{"instance", upstream.instance_id},
-                   {"service", upstream.service},
+                   {"service", shared_.settings.service},
                    {"version", upstream.version},
                    {"state", upstream.state == upstream_lifecycle::ready ? "ready" : "draining"},
                    {"cold_ms", std::to_string(to_milliseconds(value.content.cold_for))},
--- a/src/arbutuslb/core/gateway/upstream_gate_results.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate_results.cc
@@ -149,7 +149,7 @@
 std::optional<protocol::evidence_report> upstream_gate::report_evidence() {
   const std::optional<registered_upstream>& upstream = shared_.registry.upstream();
   const rollout_conductor::rollout* rollout =
-      upstream ? rollouts_.find(upstream->service) : nullptr;
+      upstream ? rollouts_.find(shared_.settings.service) : nullptr;
   if (rollout == nullptr || rollout->phase != rollout_phase::running) {
     return std::nullopt;
   }
--- a/src/arbutuslb/core/gateway/upstream_registry.cc
+++ b/src/arbutuslb/core/gateway/upstream_registry.cc
@@ -29,8 +29,8 @@
     return "already_leaving";
   case heartbeat_verdict::foreign:
     return "foreign";
-  case heartbeat_verdict::unknown_service:
-    return "unknown_service";
+  case heartbeat_verdict::other_service:
+    return "other_service";
   case heartbeat_verdict::contradictory:
     return "contradictory";
   }
@@ -38,9 +38,12 @@
 }
 
 heartbeat_verdict upstream_registry::on_heartbeat(const heartbeat& value, time_point now) {
-  if (value.address != local_address_) {
+  if (value.address != local_.address || value.domain != local_.domain) {
     return heartbeat_verdict::foreign;
   }
+  if (value.service != local_.service) {
+    return heartbeat_verdict::other_service;
+  }
   if (upstream_) {
     const bool is_same_start =
         upstream_->instance_id == value.instance_id && upstream_->started_ms == value.started_ms;
@@ -48,8 +51,7 @@
         (is_same_start && value.sequence <= upstream_->sequence)) {
       return heartbeat_verdict::stale;
     }
-    if (is_same_start &&
-        (value.service != upstream_->service || value.version != upstream_->version)) {
+    if (is_same_start && value.version != upstream_->version) {
       return heartbeat_verdict::contradictory;
     }
     if (is_same_start && upstream_->state != upstream_lifecycle::ready &&
@@ -64,7 +66,6 @@
   updated.instance_id = value.instance_id;
   updated.started_ms = value.started_ms;
   updated.sequence = value.sequence;
-  updated.service = value.service;
   updated.version = value.version;
   updated.address = value.address;
   updated.slots = std::max(1, value.slots);
--- a/src/arbutuslb/core/gateway/upstream_registry.h
+++ b/src/arbutuslb/core/gateway/upstream_registry.h
@@ -26,6 +26,7 @@
   std::int64_t started_ms = 0; // since the Unix epoch; identifies the incarnation
   std::uint64_t sequence = 0;
   std::string service;
+  std::string domain; // failure domain
   std::string version;
   std::string address;
   int slots = 0; // maximum number of concurrent requests
@@ -37,17 +38,23 @@
   accepted,
   stale,           // from an earlier incarnation, or without a higher sequence number
   already_leaving, // reports ready after the incarnation has started to depart
-  foreign,         // from another address than the local upstream's
-  unknown_service, // of a service that the configuration in force does not have
-  contradictory    // another service or version than the same incarnation has reported
+  foreign,         // from another address or failure domain than the local upstream's
+  other_service,   // of another service than the local upstream's
+  contradictory    // another version than the same incarnation has reported
 };
 const char* to_string(heartbeat_verdict value);
 
+// What the settings say of the upstream beside this daemon. It holds for every incarnation.
+struct local_upstream {
+  std::string address; // HOST:PORT
+  std::string service;
+  std::string domain;
+};
+
 struct registered_upstream {
   std::string instance_id;
   std::int64_t started_ms = 0;
   std::uint64_t sequence = 0;
-  std::string service;
   std::string version;
   std::string address;
   int slots = 1;
@@ -58,9 +65,9 @@
 
 class upstream_registry {
 public:
-  explicit upstream_registry(std::string local_address)
-      : local_address_(std::move(local_address)) {}
+  explicit upstream_registry(local_upstream local) : local_(std::move(local)) {}
 
+  // A heartbeat that contradicts the settings is from another writer and changes nothing.
   heartbeat_verdict on_heartbeat(const heartbeat& value, time_point now);
   // The upstream deregisters; `departed` returns it from then on. Returns false if it is not the
   // registered one.
@@ -92,7 +99,7 @@
   }
 
 private:
-  std::string local_address_;
+  local_upstream local_;
   std::optional<registered_upstream> upstream_;
   // Returns the time until which the sender of the heartbeat is treated as cold.
   time_point cold_end(const heartbeat& value, time_point now) const;
--- a/src/arbutuslb/fakes/gateway_fleet.cc
+++ b/src/arbutuslb/fakes/gateway_fleet.cc
@@ -428,6 +428,7 @@
   result.started_ms = value.upstream_started_ms;
   result.sequence = value.sequence;
   result.service = value.settings.service;
+  result.domain = value.settings.domain;
   result.version = value.upstream.version;
   result.address = value.settings.upstream_address;
   result.slots = value.upstream.slots;
--- a/src/arbutuslb/fuzz/fuzz_support.h
+++ b/src/arbutuslb/fuzz/fuzz_support.h
@@ -68,6 +68,7 @@
     beat.started_ms = 5;
     beat.sequence = 1;
     beat.service = "menu";
+    beat.domain = "a";
     beat.version = "v1";
     beat.address = "10.0.0.1:80";
     beat.slots = 4;
--- a/src/arbutuslb/platform/heartbeats.cc
+++ b/src/arbutuslb/platform/heartbeats.cc
@@ -31,7 +31,7 @@
   object_reader information(*information_element.value, information_element.place, findings);
   value.service = information.required_string("service");
   value.version = information.required_string("version");
-  information.required_string("zone");
+  value.domain = information.required_string("zone");
   value.slots = static_cast<int>(information.required_integer("capacitySlots", 1, max_slots));
   const object_reader::element status_element = reader.optional_object("status");
   object_reader status(*status_element.value, status_element.place, findings);
