--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -516,18 +516,33 @@
   cr_assert(fixture.fleet.starts[0].size() > before);
 }
 
+namespace {
+
+// Looks like that of a later start of the first daemon's upstream.
+gateway::heartbeat heartbeat_of_another_writer(const gateway_fleet& fleet,
+                                               const std::string& service) {
+  gateway::heartbeat value = fleet.next_heartbeat(0);
+  value.instance_id = "i-other";
+  value.started_ms += 1;
+  value.service = service;
+  return value;
+}
+
+// Returns whether the first daemon acknowledges the heartbeat.
+bool is_taken(gateway_fleet& fleet, const gateway::heartbeat& value) {
+  return fleet.acknowledged.contains(fleet.send_heartbeat(0, value));
+}
+
+} // namespace
+
 Test(gateway, a_heartbeat_of_another_writer_does_not_replace_the_upstream) {
   mesh_fixture fixture;
-  gateway::heartbeat unknown = fixture.fleet.next_heartbeat(0);
-  unknown.instance_id = "i-odd";
-  unknown.started_ms += 1;
-  unknown.service = "no-such-service";
-  cr_assert_not(fixture.fleet.acknowledged.contains(fixture.fleet.send_heartbeat(0, unknown)));
+  cr_assert_not(
+      is_taken(fixture.fleet, heartbeat_of_another_writer(fixture.fleet, "no-such-service")));
   gateway::heartbeat contradictory = fixture.fleet.next_heartbeat(0);
   contradictory.sequence += 1;
   contradictory.service = "orders";
-  cr_assert_not(
-      fixture.fleet.acknowledged.contains(fixture.fleet.send_heartbeat(0, contradictory)));
+  cr_assert_not(is_taken(fixture.fleet, contradictory));
   const auto& report = fixture.fleet.daemon(1).directory().peers().at("10.0.0.1").report;
   fixture.fleet.run_for(1s);
   cr_assert_eq(report.instance_id, "i-0");
@@ -543,11 +558,8 @@
     fixture.fleet.cuts.insert({0, at}); // so that it gets no configuration from peers
   }
   fixture.fleet.restart(0);
-  gateway::heartbeat unknown = fixture.fleet.next_heartbeat(0);
-  unknown.instance_id = "i-odd";
-  unknown.started_ms += 1;
-  unknown.service = "no-such-service";
-  cr_assert_not(fixture.fleet.acknowledged.contains(fixture.fleet.send_heartbeat(0, unknown)));
+  cr_assert_not(
+      is_taken(fixture.fleet, heartbeat_of_another_writer(fixture.fleet, "no-such-service")));
   fixture.fleet.cuts.clear();
   fixture.fleet.run_for(4s);
   const auto& report = fixture.fleet.daemon(1).directory().peers().at("10.0.0.1").report;
@@ -559,11 +571,7 @@
 // with a service that the configuration has, and a later start, replaced the upstream.
 Test(gateway, a_heartbeat_of_another_configured_service_does_not_replace_the_upstream) {
   mesh_fixture fixture;
-  gateway::heartbeat other = fixture.fleet.next_heartbeat(0);
-  other.instance_id = "i-other";
-  other.started_ms += 1;
-  other.service = "orders";
-  cr_assert_not(fixture.fleet.acknowledged.contains(fixture.fleet.send_heartbeat(0, other)));
+  cr_assert_not(is_taken(fixture.fleet, heartbeat_of_another_writer(fixture.fleet, "orders")));
   fixture.fleet.call(0, "shop.example", "/orders/1", false);
   fixture.fleet.run_for(1s);
   cr_assert_eq(fixture.fleet.run_requests.size(), 1);
