The log names the service and failure domain of an ignored heartbeat

With settings that name the wrong service, a daemon now ignores all heartbeats of its upstream; reason=other_service alone did not show which service they name. Test: gateway::a_heartbeat_of_another_configured_service_does_not_replace_the_upstream looks for the field.

--- a/src/arbutuslb/core/gateway/gateway_test.cc
+++ b/src/arbutuslb/core/gateway/gateway_test.cc
@@ -572,6 +572,10 @@
 Test(gateway, a_heartbeat_of_another_configured_service_does_not_replace_the_upstream) {
   mesh_fixture fixture;
   cr_assert_not(is_taken(fixture.fleet, heartbeat_of_another_writer(fixture.fleet, "orders")));
+  const arbutuslb::core::engine::write_event& line = fixture.fleet.log.back();
+  cr_assert_eq(line.name, "heartbeat_ignored");
+  cr_assert(std::ranges::find(line.fields, std::pair<std::string, std::string>(
+                                               "service", "orders")) != line.fields.end());
   fixture.fleet.call(0, "shop.example", "/orders/1", false);
   fixture.fleet.run_for(1s);
   cr_assert_eq(fixture.fleet.run_requests.size(), 1);
--- a/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
+++ b/src/arbutuslb/core/gateway/upstream_gate_lifecycle.cc
@@ -49,6 +49,8 @@
     ++shared_.totals.heartbeats_refused;
     shared_.write(engine::severity::warning, "heartbeat_ignored",
                   {{"instance", value.content.instance_id},
+                   {"service", value.content.service},
+                   {"domain", value.content.domain},
                    {"sequence", std::to_string(value.content.sequence)},
                    {"reason", to_string(verdict)}});
     return;
