--- a/src/arbutuslb/platform/platform_test.cc
+++ b/src/arbutuslb/platform/platform_test.cc
@@ -141,7 +141,7 @@
     for (const core::json& other :
          {core::json(), core::json(true), core::json(1.5), core::json(-1), core::json(""),
           core::json("other"), core::json::array({7}), core::json{{"a", 1}}}) {
-      // Any name is one, whatever it says.
+      // Another string is another name; only the state and the cold time have a form.
       const bool is_of_same_type = other == "other" && complete.at(field).is_string() &&
                                    field.back() != "state" && field.back() != "coldRemaining";
       core::json changed = complete;
@@ -151,6 +151,7 @@
   }
 }
 
+// Guards against an upstream, or a departure, without an id: no request could name it.
 Test(heartbeats, a_call_without_an_instance_is_rejected) {
   for (const char* method : {"PUT", "DELETE"}) {
     core::http_request request = heartbeat_request(heartbeat_text);
