--- a/review/stand_ins_3/kit.h
+++ b/review/stand_ins_3/kit.h
@@ -2,6 +2,7 @@
 // of daemon processes. Blocking sockets, one thread per connection, the real clock, loopback only.
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -25,6 +26,7 @@
 #include <string>
 #include <strings.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -490,6 +492,9 @@
   throw cannot_run("no free ports");
 }
 
+// `fileDescriptors` of a machine of haddad-engrave.
+constexpr int file_descriptors = 4100;
+
 class daemon_process {
 public:
   daemon_process(std::string program, std::string directory, machine_settings settings,
@@ -521,6 +526,10 @@
     const int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     id_ = ::fork();
     if (id_ == 0) {
+      rlimit descriptors{};
+      ::getrlimit(RLIMIT_NOFILE, &descriptors);
+      descriptors.rlim_cur = std::min<rlim_t>(descriptors.rlim_max, file_descriptors);
+      ::setrlimit(RLIMIT_NOFILE, &descriptors);
       ::prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the case, however that ends
       ::dup2(log, STDOUT_FILENO);
       ::dup2(log, STDERR_FILENO);
@@ -559,7 +568,21 @@
     }
     return 0;
   }
-  // One question of the platform: whether the daemon is ready, within a second.
+  // One question of the platform on a connection that it keeps.
+  bool is_ready_on(connection& kept) const {
+    if (!kept.is_open()) {
+      kept = connection::open(settings_.host, ports_.ready);
+    }
+    message reply;
+    const bool is_answered = kept.is_open() &&
+                             kept.write("GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n") &&
+                             kept.read(reply, now_ms() + 1000);
+    if (!is_answered) {
+      kept.close();
+    }
+    return is_answered && reply.status() == 200;
+  }
+  // The same on a new connection, within a second.
   bool is_ready() const {
     connection asked = connection::open(settings_.host, ports_.ready);
     message reply;
