--- a/review/stand_ins_3/abandoned_uploads.cc
+++ b/review/stand_ins_3/abandoned_uploads.cc
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr int machines = 2;
-constexpr int rounds = 3;                       // of clients that leave
+constexpr int most_rounds = 5; // of clients that leave
+constexpr int kills_counted = 3;
 constexpr int memory_mb = 110;                  // of a machine of haddad-engrave
 constexpr int slots = 18;                       // of an endpoint there
 constexpr std::size_t body_size = 6'500'000;    // under maxBodyBytes, 67,108,864
@@ -156,7 +157,7 @@
     for (int i = 0; i < ordinary_clients; ++i) {
       others.emplace_back([this, i] { call_in_turn(i); });
     }
-    for (int round = 1; round <= rounds; ++round) {
+    for (int round = 1; round <= most_rounds && result.kills < kills_counted; ++round) {
       kit::sleep_ms(calm_ms);
       record.line(settings.host + ": round " + std::to_string(round) + ", the process uses " +
                   std::to_string(daemon.resident_mb()) + " MB");
@@ -237,7 +238,7 @@
                 std::to_string(result.ordinary_sent) + ", answered " +
                 std::to_string(result.ordinary_answered) + ", orders run and not answered " +
                 std::to_string(result.orders_run_and_cut));
-    is_over_on_all = is_over_on_all && result.kills >= 3;
+    is_over_on_all = is_over_on_all && result.kills >= kills_counted;
   }
   return is_over_on_all;
 }
